--- /dev/null
+++ b/Makefile
@@ -0,0 +1,30 @@
+.PHONY: build test demo bench lint format generate capacity race
+LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+build:
+	go build -o build/acaciavane .
+
+test:
+	go vet ./...
+	go test -count=1 -p 1 -timeout 20m ./...
+
+race:
+	go test -count=1 -race -timeout 20m ./core/... ./io/... ./cli/...
+
+demo:
+	go run ./standin/demo
+
+bench:
+	go run ./standin/bench
+
+capacity:
+	go run ./standin/capacity
+
+lint:
+	go run $(LINT) run ./...
+
+format:
+	gofmt -w .
+
+generate:
+	protoc --go_out=. --go_opt=module=acaciavane --go-grpc_out=. --go-grpc_opt=module=acaciavane io/peer/peerpb/peer.proto
--- /dev/null
+++ b/cli/instance.go
@@ -0,0 +1,273 @@
+package cli
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"acaciavane/core"
+	"acaciavane/io/operator"
+	"acaciavane/io/peer"
+	"acaciavane/io/platform"
+	"acaciavane/io/upstream"
+)
+
+const dialTimeout = 1 * time.Second
+
+// instance is one entry instance: the decisions and their adapters, wired up.
+type instance struct {
+	settings     operator.Settings
+	clock        core.Clock
+	log          logr.Logger
+	self         core.PeerInfo
+	startedAt    core.Millis
+	counters     *core.Counters
+	store        *core.Store
+	fleet        *core.Fleet
+	facts        *core.FactLog
+	quarantine   *core.Quarantine
+	budget       *core.Budget
+	pause        *core.PauseGuard
+	prober       *core.Prober
+	peers        *core.Peers
+	publications *core.Publications
+	engine       *core.Engine
+	orders       *core.Orders
+	peerClient   *peer.Client
+	leaving      atomic.Bool
+	wasReady     atomic.Bool
+}
+
+func newInstance(settings operator.Settings, log logr.Logger) *instance {
+	clock := core.NewClock()
+	i := &instance{
+		settings:  settings,
+		clock:     clock,
+		log:       log,
+		startedAt: clock.Now(),
+		counters:  core.NewCounters(),
+		self: core.PeerInfo{
+			Name:        settings.Instance,
+			Zone:        settings.Zone,
+			Address:     settings.PeerAddress,
+			Incarnation: uint64(time.Now().UnixMicro()),
+		},
+	}
+	i.facts = core.NewFactLog(clock)
+	i.fleet = core.NewFleet(clock, settings.Zone, settings.Policy, i.tellFact)
+	i.quarantine = core.NewQuarantine(clock, i.tellFact)
+	i.budget = core.NewBudget(core.ExtraLoadShare, core.ExtraLoadBurst)
+	i.pause = core.NewPauseGuard(clock, i.counters, i.renewView)
+	i.wirePublished()
+	i.wireRequests()
+	return i
+}
+
+// newDialer returns a dialer that connects from the given IP number, if any.
+func newDialer(source string) *net.Dialer {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	if source != "" {
+		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
+	}
+	return dialer
+}
+
+// wirePublished connects what operators publish and what peers say.
+func (i *instance) wirePublished() {
+	dialer := newDialer(i.settings.SourceAddress)
+	upstreams := upstream.New(i.clock, dialer)
+	i.prober = core.NewProber(i.clock, i.fleet, upstreams)
+	i.store = core.NewStore(i.clock, platform.NewDecoder(), i.counters)
+	i.store.OnConfiguration(i.applyConfiguration)
+	i.store.OnInstanceList(i.fleet.ApplyList)
+	i.peerClient = peer.New(i.clock, i.counters, dialer)
+	i.peers = core.NewPeers(core.PeersParts{
+		Self:     i.self,
+		Seeds:    i.settings.Peers,
+		Clock:    i.clock,
+		Client:   i.peerClient,
+		Store:    i.store,
+		Facts:    i.facts,
+		Counters: i.counters,
+		Apply:    i.applyFact,
+	})
+	i.publications = core.NewPublications(core.PublicationsParts{
+		Clock:    i.clock,
+		Platform: platform.New(i.settings.PlatformAddress, dialer),
+		Store:    i.store,
+		Peers:    i.peers,
+		Counters: i.counters,
+		Log:      i.log,
+	})
+	i.engine = core.NewEngine(core.EngineParts{
+		Instance:    i.self.Name,
+		Clock:       i.clock,
+		Store:       i.store,
+		Fleet:       i.fleet,
+		Client:      upstreams,
+		Quarantine:  i.quarantine,
+		Budget:      i.budget,
+		Pause:       i.pause,
+		Counters:    i.counters,
+		Gates:       core.NewGateSet(core.Priorities),
+		Policy:      i.settings.Policy,
+		NewID:       uuid.NewString,
+		NotifyPeers: i.peers.Tell,
+	})
+}
+
+func (i *instance) wireRequests() {
+	home := core.Home{Instance: i.self.Name, Incarnation: i.self.Incarnation}
+	i.orders = core.NewOrders(i.engine, i.peerClient, home, i.self.Address, i.tellFact)
+}
+
+// tellFact records what this instance saw, so that its peers are told.
+func (i *instance) tellFact(fact core.Fact) {
+	if i.facts.Merge(fact) {
+		i.log.Info("fact seen", "kind", fact.Kind, "subject", fact.Subject, "stamp", fact.Stamp, "verdict", fact.Verdict)
+	}
+}
+
+// applyFact takes in what a peer saw.
+func (i *instance) applyFact(fact core.Fact) {
+	i.log.Info("fact heard", "kind", fact.Kind, "subject", fact.Subject, "stamp", fact.Stamp, "verdict", fact.Verdict)
+	switch fact.Kind {
+	case core.FactUpstreamLeaving:
+		i.fleet.MarkLeaving(fact.Subject, fact.Stamp, "peer")
+	case core.FactVerdict:
+		i.quarantine.Apply(fact)
+	case core.FactTicketsMoved:
+		i.orders.Moved(fact)
+	}
+}
+
+func (i *instance) applyConfiguration(configuration core.Configuration) {
+	i.fleet.Apply(configuration)
+	i.prober.Wake()
+	i.log.Info("configuration in force", "version", configuration.Version, "digest", configuration.Digest)
+}
+
+// renewView asks the peers, the platform and the upstreams for what happened
+// while the process was suspended.
+func (i *instance) renewView(ctx context.Context) {
+	i.log.Info("the process was suspended; renewing the view")
+	var group errgroup.Group
+	group.Go(func() error { return i.publications.Refresh(ctx) })
+	group.Go(func() error { i.peers.Tell(ctx); return nil })
+	group.Go(func() error { i.prober.ProbeAll(ctx); return nil })
+	_ = group.Wait()
+}
+
+// run keeps the tasks of the instance until ctx ends.
+func (i *instance) run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return i.pause.Run(ctx) })
+	group.Go(func() error { return i.peers.Run(ctx) })
+	group.Go(func() error { return i.publications.Run(ctx) })
+	group.Go(func() error { return i.prober.Run(ctx) })
+	return group.Wait()
+}
+
+// current reports whether the instance has a configuration in force and has
+// asked the platform, its peers and its upstreams at least once.
+func (i *instance) current() bool {
+	if i.wasReady.Load() {
+		return true
+	}
+	if _, ok := i.store.Current(); !ok {
+		return false
+	}
+	if !i.publications.AllTried() || !i.peers.AllTried() || !i.prober.AllTried() {
+		return false
+	}
+	i.wasReady.Store(true)
+	return true
+}
+
+// Ready implements caller.Service. An instance that is leaving still serves
+// those who come.
+func (i *instance) Ready() bool {
+	return i.current()
+}
+
+// readyForMore is what the balancer is told.
+func (i *instance) readyForMore() bool {
+	return i.current() && !i.leaving.Load()
+}
+
+// Query implements caller.Service.
+func (i *instance) Query(ctx context.Context, request core.Request) core.Answer {
+	return i.engine.Query(ctx, request)
+}
+
+// Order implements caller.Service.
+func (i *instance) Order(ctx context.Context, ticket core.Ticket, request core.Request) core.Answer {
+	return i.orders.Run(ctx, ticket, request)
+}
+
+// MintTicket implements caller.Service.
+func (i *instance) MintTicket(ctx context.Context) core.Ticket {
+	if i.leaving.Load() {
+		return i.orders.MintAt(ctx, i.peers.Successors())
+	}
+	return i.orders.Mint()
+}
+
+// Receive implements peer.Handler.
+func (i *instance) Receive(message core.Exchange) core.Exchange {
+	return i.peers.Receive(message)
+}
+
+// RunForwarded implements peer.Handler.
+func (i *instance) RunForwarded(ctx context.Context, ticket core.Ticket, request core.Request) core.Answer {
+	return i.orders.RunForwarded(ctx, ticket, request)
+}
+
+// Mint implements peer.Handler.
+func (i *instance) Mint() core.Ticket {
+	return i.orders.Mint()
+}
+
+// Adopt implements peer.Handler.
+func (i *instance) Adopt(book core.BookCopy) {
+	i.log.Info("tickets taken over", "home", book.Home.Instance, "runs", len(book.Runs))
+	i.orders.Adopt(book)
+}
+
+// Leaving implements peer.Handler.
+func (i *instance) Leaving() bool {
+	return i.leaving.Load()
+}
+
+// state collects what operators are shown.
+func (i *instance) state() operator.State {
+	inForce, has := i.store.Current()
+	refusals, conflicts := i.store.Refusals()
+	self := i.self
+	self.Leaving = i.leaving.Load()
+	return operator.State{
+		Self:             self,
+		Ready:            i.readyForMore(),
+		StartedAt:        i.startedAt,
+		Now:              i.clock.Now(),
+		InFlight:         i.engine.InFlight(),
+		InForce:          inForce,
+		HasConfiguration: has,
+		Refusals:         refusals,
+		Conflicts:        conflicts,
+		List:             i.store.List(),
+		PlatformAge:      i.store.PlatformAge(),
+		Reader:           i.peers.Reader(),
+		Peers:            i.peers.State(),
+		Upstreams:        i.fleet.State(),
+		Verdicts:         i.quarantine.State(),
+		RememberedOrders: i.orders.Remembered(),
+		ExtraLoadTokens:  i.budget.Tokens(),
+		Counters:         i.counters,
+	}
+}
--- /dev/null
+++ b/core/clock.go
@@ -0,0 +1,73 @@
+package core
+
+import (
+	"context"
+	"time"
+)
+
+// Millis is a duration, or a point in time since the Unix epoch, in milliseconds.
+type Millis int64
+
+// Common durations in milliseconds.
+const (
+	Second Millis = 1000
+	Minute Millis = 60 * Second
+)
+
+// Duration converts m to the standard library's duration.
+func (m Millis) Duration() time.Duration {
+	return time.Duration(m) * time.Millisecond
+}
+
+// Clock reads time in milliseconds. It never steps backwards, and it goes on
+// while the process is suspended.
+type Clock struct {
+	read func() Millis
+}
+
+// NewClock returns a clock that starts at the wall time of the call and follows
+// the monotonic clock from then on.
+func NewClock() Clock {
+	started := time.Now()
+	base := Millis(started.UnixMilli())
+	return Clock{read: func() Millis {
+		return base + Millis(time.Since(started).Milliseconds())
+	}}
+}
+
+// NewClockFrom returns a clock that takes its readings from read.
+func NewClockFrom(read func() Millis) Clock {
+	return Clock{read: read}
+}
+
+// Now returns the current time.
+func (c Clock) Now() Millis {
+	return c.read()
+}
+
+// Since returns the time elapsed since at.
+func (c Clock) Since(at Millis) Millis {
+	return c.read() - at
+}
+
+// Sleep waits for the given time or until ctx ends, and returns the error of ctx.
+func (c Clock) Sleep(ctx context.Context, wait Millis) error {
+	timer := time.NewTimer(wait.Duration())
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// WithDeadline returns a context that ends when the clock reaches at.
+func (c Clock) WithDeadline(ctx context.Context, at Millis) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, (at - c.read()).Duration())
+}
+
+// After returns a channel that signals once the given time has passed.
+func (c Clock) After(wait Millis) <-chan time.Time {
+	return time.After(wait.Duration())
+}
--- /dev/null
+++ b/core/constants.go
@@ -0,0 +1,127 @@
+package core
+
+// Limits of one request.
+const (
+	// MaxBodyBytes is the largest request body that a caller may send.
+	MaxBodyBytes = 256 << 10
+	// MaxReplyBytes is the largest reply that is read from an upstream.
+	MaxReplyBytes = 8 << 20
+	// MaxIdentityBytes is the longest request identity that a caller may choose.
+	MaxIdentityBytes = 128
+	// MaxTimeoutMillis is the longest deadline that a kind or a caller may set.
+	MaxTimeoutMillis = 10 * Minute
+	// MaxPublishedBytes is the largest value that the platform holds.
+	MaxPublishedBytes = 1 << 20
+	// MaxSnapshotRounds is how many snapshots one query may try.
+	MaxSnapshotRounds = 3
+)
+
+// Timing of the control traffic.
+const (
+	// ExchangeIntervalMillis is the pause between two exchanges with one peer.
+	ExchangeIntervalMillis = 500 * Millis(1)
+	// ExchangeTimeoutMillis bounds one exchange with a peer.
+	ExchangeTimeoutMillis = 400 * Millis(1)
+	// PeerAliveMillis is how long after its last exchange a peer counts as alive.
+	PeerAliveMillis = 3 * Second
+	// PeerRetryMaxMillis is the longest pause after failed exchanges with a peer.
+	PeerRetryMaxMillis = 2 * Second
+	// MaxPeerLinks is the most peers that an instance exchanges news with.
+	MaxPeerLinks = 12
+	// ProbeIntervalMillis is the pause between two status probes of a quiet upstream.
+	ProbeIntervalMillis = 1 * Second
+	// ProbeTimeoutMillis bounds one status probe.
+	ProbeTimeoutMillis = 500 * Millis(1)
+	// WatchWaitMillis is how long a watch waits at the platform for a change.
+	WatchWaitMillis = 10 * Second
+	// PlatformRetryMinMillis is the first pause after a failed platform read.
+	PlatformRetryMinMillis = 500 * Millis(1)
+	// PlatformRetryMaxMillis is the longest pause after failed platform reads.
+	PlatformRetryMaxMillis = 4 * Second
+	// PlatformSilenceMillis is how long an instance that is not a reader waits
+	// for news of the platform before it reads by itself.
+	PlatformSilenceMillis = 4 * Second
+	// ReadersPerZone is how many instances of a zone watch the platform.
+	ReadersPerZone = 2
+	// PauseThresholdMillis is the gap on the clock from which the process
+	// counts as having been suspended.
+	PauseThresholdMillis = 1 * Second
+	// PauseTickMillis is the interval at which the clock is checked for gaps.
+	PauseTickMillis = 50 * Millis(1)
+	// RenewTimeoutMillis bounds the renewal of the view after a suspension.
+	RenewTimeoutMillis = 700 * Millis(1)
+	// NotifyTimeoutMillis bounds the wait for peers to take a verdict on a request.
+	NotifyTimeoutMillis = 250 * Millis(1)
+)
+
+// Policy under load.
+const (
+	// MaxInFlight is the most requests that an instance answers at once.
+	MaxInFlight = 512
+	// QueuedPerSlot is how many queries may be in flight for each request that
+	// the narrowest service takes from this instance.
+	QueuedPerSlot = 3
+	// Priorities is the number of priority levels of request kinds.
+	Priorities = 3
+	// ShardsPerHedge is how many shards of a query allow one hedge.
+	ShardsPerHedge = 10
+	// MergeMarginMillis is kept back from a deadline for merging the answer.
+	MergeMarginMillis = 3 * Millis(1)
+	// ShedPauseMillis is the first pause before a shed attempt is sent again.
+	ShedPauseMillis = 2 * Millis(1)
+	// ExtraLoadShare is the part of the first attempts that may be sent again
+	// as hedges and retries.
+	ExtraLoadShare = 0.05
+	// ExtraLoadBurst is how many extra attempts may be saved up.
+	ExtraLoadBurst = 20
+	// HedgeQuantile is the latency quantile of a service after which a hedge is due.
+	HedgeQuantile = 0.95
+	// HedgeMinMillis is the earliest hedge.
+	HedgeMinMillis = 2 * Millis(1)
+	// LatencyWindow is how many latencies a service keeps for its quantiles.
+	LatencyWindow = 512
+	// LatencyDecayMillis is the time in which the latency of an unused replica
+	// is halved, so that it is tried again.
+	LatencyDecayMillis = 2 * Second
+	// LocalBias multiplies the score of replicas in the instance's own zone.
+	LocalBias = 0.75
+	// SlowStartMillis is how long a fresh replica gets less than its share.
+	SlowStartMillis = 2 * Second
+	// SlowStartFactor multiplies the score of a replica at its start.
+	SlowStartFactor = 4.0
+	// EjectAfterFailures is how many failures in a row eject a replica.
+	EjectAfterFailures = 3
+	// EjectMinMillis is the first ejection of a replica.
+	EjectMinMillis = 500 * Millis(1)
+	// EjectMaxMillis is the longest ejection of a replica.
+	EjectMaxMillis = 10 * Second
+	// MaxAttemptsPerShard bounds the attempts for one shard of one query.
+	MaxAttemptsPerShard = 4
+	// LimitIncrease is what a success adds to a concurrency limit.
+	LimitIncrease = 0.05
+	// LimitDecrease multiplies a concurrency limit after a shed request.
+	LimitDecrease = 0.7
+)
+
+// Requests that crash upstreams.
+const (
+	// ConvictAfterCrashes is how many isolated runs must crash before the
+	// request is refused.
+	ConvictAfterCrashes = 2
+	// SuspectAfterLosses is how many lost connections make a query a suspect.
+	SuspectAfterLosses = 2
+	// VerdictTTLMillis is how long a verdict on a request holds.
+	VerdictTTLMillis = 10 * Minute
+	// LeavingTTLMillis is how long word of a leaving upstream is passed on.
+	LeavingTTLMillis = 2 * Minute
+	// MaxFacts bounds the facts that an instance keeps.
+	MaxFacts = 4096
+)
+
+// Requests that may not be repeated.
+const (
+	// TicketTTLMillis is how long a ticket may be used.
+	TicketTTLMillis = 2 * Minute
+	// MaxTicketRuns bounds the runs that an instance remembers.
+	MaxTicketRuns = 100_000
+)
--- /dev/null
+++ b/core/fleet.go
@@ -0,0 +1,451 @@
+package core
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"sync"
+)
+
+// ErrNoReplica means that no upstream of a service may be given the work.
+var ErrNoReplica = errors.New("no routable replica")
+
+// Fleet is the instance's view of all upstreams. It chooses replicas and keeps
+// the number of requests at each within the instance's share.
+type Fleet struct {
+	clock  Clock
+	zone   string
+	policy Policy
+	notify func(Fact)
+
+	mu       sync.Mutex
+	services map[string]*service
+	replicas map[string]*replica
+}
+
+type service struct {
+	name     string
+	replicas []*replica
+	waiters  []*waiter
+	window   latencyWindow
+}
+
+type waiter struct {
+	want    Want
+	granted chan *Permit
+}
+
+// Want says which replica an attempt needs.
+type Want struct {
+	Service    string
+	Collection string
+	// Snapshot restricts the choice to replicas that serve it, unless it is zero.
+	Snapshot uint64
+	// Exclude names replicas that were tried already.
+	Exclude Set[string]
+	// Exclusive asks for a replica that runs nothing else for this instance.
+	Exclusive bool
+	// SpareLast leaves the last routable replica of the service alone.
+	SpareLast bool
+	// NoWait gives up at once when there is no room.
+	NoWait   bool
+	Priority int
+}
+
+// NewFleet returns an empty view for an instance in the given zone. It calls
+// notify with each upstream that it sees leaving.
+func NewFleet(clock Clock, zone string, policy Policy, notify func(Fact)) *Fleet {
+	return &Fleet{
+		clock:    clock,
+		zone:     zone,
+		policy:   policy,
+		notify:   notify,
+		services: map[string]*service{},
+		replicas: map[string]*replica{},
+	}
+}
+
+// Apply takes in the services of a configuration. What is known of upstreams
+// that stay is kept.
+func (f *Fleet) Apply(configuration Configuration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	services := make(map[string]*service, len(configuration.Services))
+	replicas := make(map[string]*replica)
+	for _, spec := range configuration.Services {
+		share := configuration.Share(spec)
+		s := f.keepService(spec.Name)
+		s.replicas = s.replicas[:0]
+		for _, upstream := range spec.Upstreams {
+			r := f.keepReplica(spec, upstream, share)
+			s.replicas = append(s.replicas, r)
+			replicas[upstream.Name] = r
+		}
+		services[spec.Name] = s
+	}
+	f.services = services
+	f.replicas = replicas
+	for _, s := range services {
+		f.grant(s)
+	}
+}
+
+func (f *Fleet) keepService(name string) *service {
+	if s, ok := f.services[name]; ok {
+		return s
+	}
+	return &service{name: name}
+}
+
+func (f *Fleet) keepReplica(spec Service, upstream Upstream, share int) *replica {
+	r, ok := f.replicas[upstream.Name]
+	if !ok || r.upstream != upstream || r.service != spec.Name {
+		return newReplica(spec, upstream, share)
+	}
+	if r.slots != spec.Slots || r.share != share {
+		r.resize(spec.Slots, share)
+	}
+	return r
+}
+
+// ApplyList takes in which upstreams the platform's list says are leaving.
+func (f *Fleet) ApplyList(list InstanceList) {
+	for _, m := range list.Members {
+		if m.Role == RoleUpstream && m.Leaving {
+			f.MarkLeaving(m.Name, m.Incarnation, "instance list")
+		}
+	}
+}
+
+// MarkLeaving takes in word that an incarnation of an upstream is leaving. Word
+// of a former incarnation is ignored. It reports whether this was news.
+func (f *Fleet) MarkLeaving(name string, incarnation uint64, source string) bool {
+	status := UpstreamStatus{Incarnation: incarnation, Phase: PhaseLeaving}
+	return f.observe(name, status, source)
+}
+
+// Observe takes in what an upstream said of itself.
+func (f *Fleet) Observe(name string, status UpstreamStatus) {
+	f.observe(name, status, "upstream")
+}
+
+func (f *Fleet) observe(name string, status UpstreamStatus, source string) bool {
+	f.mu.Lock()
+	r, ok := f.replicas[name]
+	if !ok {
+		f.mu.Unlock()
+		return false
+	}
+	wasLeaving := r.phase == PhaseLeaving && r.incarnation == status.Incarnation
+	r.observe(status, source, f.clock.Now())
+	leaves := r.phase == PhaseLeaving && !wasLeaving
+	if s, ok := f.services[r.service]; ok {
+		f.grant(s)
+	}
+	f.mu.Unlock()
+	if leaves {
+		f.notify(NewLeavingFact(name, status.Incarnation))
+	}
+	return leaves
+}
+
+// Acquire waits for a replica with room and returns a permit for one request.
+func (f *Fleet) Acquire(ctx context.Context, want Want) (*Permit, error) {
+	f.mu.Lock()
+	s, ok := f.services[want.Service]
+	if !ok || len(f.eligible(s, want)) == 0 {
+		f.mu.Unlock()
+		return nil, ErrNoReplica
+	}
+	if !s.isolating() {
+		if permit := f.take(s, want); permit != nil {
+			f.mu.Unlock()
+			return permit, nil
+		}
+	}
+	if want.NoWait {
+		f.mu.Unlock()
+		return nil, ErrNoReplica
+	}
+	w := &waiter{want: want, granted: make(chan *Permit, 1)}
+	s.enqueue(w)
+	f.mu.Unlock()
+	return f.await(ctx, s, w)
+}
+
+func (f *Fleet) await(ctx context.Context, s *service, w *waiter) (*Permit, error) {
+	select {
+	case permit := <-w.granted:
+		if permit == nil {
+			return nil, ErrNoReplica
+		}
+		return permit, nil
+	case <-ctx.Done():
+	}
+	f.mu.Lock()
+	s.dequeue(w)
+	f.mu.Unlock()
+	select {
+	case permit := <-w.granted:
+		if permit != nil {
+			permit.Release()
+		}
+	default:
+	}
+	return nil, ctx.Err()
+}
+
+func (s *service) routable() int {
+	count := 0
+	for _, r := range s.replicas {
+		if r.routable() {
+			count++
+		}
+	}
+	return count
+}
+
+// isolating reports whether a waiter needs a replica for itself. Nobody is
+// given room before it, so that the replica drains.
+func (s *service) isolating() bool {
+	return slices.ContainsFunc(s.waiters, func(w *waiter) bool { return w.want.Exclusive })
+}
+
+// enqueue inserts the waiter behind those of the same or a higher priority.
+func (s *service) enqueue(w *waiter) {
+	index := slices.IndexFunc(s.waiters, func(o *waiter) bool {
+		return o.want.Priority < w.want.Priority
+	})
+	if index < 0 {
+		index = len(s.waiters)
+	}
+	s.waiters = slices.Insert(s.waiters, index, w)
+}
+
+func (s *service) dequeue(w *waiter) {
+	if index := slices.Index(s.waiters, w); index >= 0 {
+		s.waiters = slices.Delete(s.waiters, index, index+1)
+	}
+}
+
+// grant hands room to the waiters in order, and turns away those for whom no
+// replica is left.
+func (f *Fleet) grant(s *service) {
+	waiting := slices.Clone(s.waiters)
+	for _, w := range waiting {
+		if len(f.eligible(s, w.want)) == 0 {
+			s.dequeue(w)
+			w.granted <- nil
+			continue
+		}
+		s.dequeue(w)
+		permit := f.take(s, w.want)
+		if permit == nil {
+			s.enqueueFront(w)
+			if w.want.Exclusive {
+				return
+			}
+			continue
+		}
+		w.granted <- permit
+	}
+}
+
+// enqueueFront puts back a waiter before all others of its priority.
+func (s *service) enqueueFront(w *waiter) {
+	index := slices.IndexFunc(s.waiters, func(o *waiter) bool {
+		return o.want.Priority <= w.want.Priority
+	})
+	if index < 0 {
+		index = len(s.waiters)
+	}
+	s.waiters = slices.Insert(s.waiters, index, w)
+}
+
+func (f *Fleet) eligible(s *service, want Want) []*replica {
+	if want.SpareLast && s.routable() < 2 {
+		return nil
+	}
+	var all []*replica
+	for _, r := range s.replicas {
+		switch {
+		case !r.routable() || r.share < 1 || want.Exclude.Has(r.upstream.Name):
+		case want.Snapshot != 0 && !r.serves(want.Collection, want.Snapshot):
+		default:
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+// take returns a permit for the replica that is expected to answer first, or
+// nil when that replica has no room.
+func (f *Fleet) take(s *service, want Want) *Permit {
+	now := f.clock.Now()
+	candidates := f.eligible(s, want)
+	kept := slices.DeleteFunc(slices.Clone(candidates), func(r *replica) bool { return r.ejected(now) })
+	if len(kept) == 0 {
+		kept = candidates
+	}
+	if len(kept) == 0 {
+		return nil
+	}
+	best := slices.MinFunc(kept, func(a, b *replica) int {
+		return cmp.Compare(f.expected(s, a, want, now), f.expected(s, b, want, now))
+	})
+	if !best.hasRoom(want.Exclusive) {
+		return nil
+	}
+	best.inFlight++
+	best.exclusive = want.Exclusive
+	return &Permit{
+		fleet:       f,
+		replica:     best,
+		target:      best.target(),
+		incarnation: best.incarnation,
+		since:       now,
+		want:        want,
+	}
+}
+
+func (f *Fleet) expected(s *service, r *replica, want Want, now Millis) float64 {
+	if f.policy.RandomReplica {
+		return rand.Float64()
+	}
+	score := r.score(f.zone, now)
+	if !r.hasRoom(want.Exclusive) {
+		score *= float64(1 + len(s.waiters))
+	}
+	return score
+}
+
+// HedgeDelay returns after which time an attempt at the service is slow, if
+// enough is known.
+func (f *Fleet) HedgeDelay(name string) Option[Millis] {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.services[name]
+	if !ok {
+		return None[Millis]()
+	}
+	delay, known := s.window.quantile(HedgeQuantile).Get()
+	if !known {
+		return None[Millis]()
+	}
+	return Some(max(HedgeMinMillis, delay+1))
+}
+
+// Room returns how many requests the instance may have in flight at the service.
+func (f *Fleet) Room(name string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.services[name]
+	if !ok {
+		return 0
+	}
+	room := 0
+	for _, r := range s.replicas {
+		if r.routable() {
+			room += r.capacity()
+		}
+	}
+	return room
+}
+
+// Serving reports whether a routable replica of the service is believed to
+// serve the snapshot.
+func (f *Fleet) Serving(name, collection string, snapshot uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.services[name]
+	return ok && len(f.eligible(s, Want{Collection: collection, Snapshot: snapshot})) > 0
+}
+
+// DropSnapshot records that an upstream said it does not serve a snapshot.
+func (f *Fleet) DropSnapshot(name, collection string, snapshot uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, ok := f.replicas[name]; ok && r.snapshots != nil {
+		delete(r.snapshots[collection], snapshot)
+	}
+}
+
+// Targets returns all upstreams.
+func (f *Fleet) Targets() []Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	targets := make([]Target, 0, len(f.replicas))
+	for _, r := range f.replicas {
+		targets = append(targets, r.target())
+	}
+	return targets
+}
+
+// HeardAt returns when the upstream last said something.
+func (f *Fleet) HeardAt(name string) Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, ok := f.replicas[name]; ok {
+		return r.heardAt
+	}
+	return 0
+}
+
+// ReplicaState is the view of one upstream, for the state dump.
+type ReplicaState struct {
+	Name          string
+	Service       string
+	Address       string
+	Zone          string
+	Incarnation   uint64
+	Phase         Phase
+	LeavingSource string
+	LeavingSince  Millis
+	Snapshots     map[string][]uint64
+	InFlight      int
+	Limit         float64
+	Share         int
+	LatencyMillis float64
+	ReportedLoad  float64
+	HeardAt       Millis
+	EjectedUntil  Millis
+}
+
+// State returns the view of all upstreams, sorted by name.
+func (f *Fleet) State() []ReplicaState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	states := make([]ReplicaState, 0, len(f.replicas))
+	for _, r := range f.replicas {
+		states = append(states, r.state())
+	}
+	slices.SortFunc(states, func(a, b ReplicaState) int { return cmp.Compare(a.Name, b.Name) })
+	return states
+}
+
+func (r *replica) state() ReplicaState {
+	snapshots := make(map[string][]uint64, len(r.snapshots))
+	for collection, ids := range r.snapshots {
+		snapshots[collection] = ids.Sorted()
+	}
+	return ReplicaState{
+		Name:          r.upstream.Name,
+		Service:       r.service,
+		Address:       r.upstream.Address,
+		Zone:          r.upstream.Zone,
+		Incarnation:   r.incarnation,
+		Phase:         r.phase,
+		LeavingSource: r.leavingSource,
+		LeavingSince:  r.leavingSince,
+		Snapshots:     snapshots,
+		InFlight:      r.inFlight,
+		Limit:         r.limit,
+		Share:         r.share,
+		LatencyMillis: r.latency,
+		ReportedLoad:  r.load,
+		HeardAt:       r.heardAt,
+		EjectedUntil:  r.ejectedUntil,
+	}
+}
--- /dev/null
+++ b/core/permit.go
@@ -0,0 +1,91 @@
+package core
+
+// Permit allows one request to one upstream.
+type Permit struct {
+	fleet       *Fleet
+	replica     *replica
+	target      Target
+	incarnation uint64
+	since       Millis
+	want        Want
+	released    bool
+}
+
+// Target returns the upstream that the permit is for.
+func (p *Permit) Target() Target {
+	return p.target
+}
+
+// Sendable reports whether the upstream may still be given new work. It is asked
+// at the moment of sending, since the permit may have waited.
+func (p *Permit) Sendable() bool {
+	f := p.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	current, known := f.replicas[p.target.Name]
+	return known && current == p.replica && p.replica.routable()
+}
+
+// Succeed records a whole reply and releases the permit.
+func (p *Permit) Succeed(status UpstreamStatus) {
+	f := p.fleet
+	now := f.clock.Now()
+	f.mu.Lock()
+	latency := now - p.since
+	p.replica.succeed(latency, now)
+	if s, ok := f.services[p.want.Service]; ok {
+		s.window.add(latency)
+	}
+	f.mu.Unlock()
+	f.Observe(p.target.Name, status)
+	p.Release()
+}
+
+// Fail records a failed attempt and releases the permit.
+func (p *Permit) Fail(failure *AttemptError) {
+	f := p.fleet
+	now := f.clock.Now()
+	f.mu.Lock()
+	switch failure.Kind {
+	case FailureNotRun:
+		p.replica.shed()
+	case FailureTimeout:
+		p.replica.slow(now-p.since, now)
+	case FailureNoSnapshot:
+	default:
+		p.replica.fail(now)
+	}
+	f.mu.Unlock()
+	if status, ok := failure.Status.Get(); ok {
+		f.Observe(p.target.Name, status)
+	}
+	if failure.Kind == FailureNoSnapshot {
+		f.DropSnapshot(p.target.Name, p.want.Collection, p.want.Snapshot)
+	}
+	p.Release()
+}
+
+// Slow records that the attempt is late while it goes on.
+func (p *Permit) Slow() {
+	f := p.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	p.replica.slow(now-p.since, now)
+}
+
+// Release gives the room back. Further calls do nothing.
+func (p *Permit) Release() {
+	f := p.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if p.released {
+		return
+	}
+	p.released = true
+	p.replica.inFlight--
+	p.replica.exclusive = false
+	if s, ok := f.services[p.want.Service]; ok {
+		f.grant(s)
+	}
+}
--- /dev/null
+++ b/core/prober.go
@@ -0,0 +1,135 @@
+package core
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Prober keeps what is known of quiet upstreams current, with one task for each.
+type Prober struct {
+	clock  Clock
+	fleet  *Fleet
+	client UpstreamClient
+	wake   chan struct{}
+
+	mu    sync.Mutex
+	tasks map[string]probeTask
+	first Set[string]
+}
+
+type probeTask struct {
+	target Target
+	cancel context.CancelFunc
+}
+
+// NewProber returns a prober of the fleet's upstreams.
+func NewProber(clock Clock, fleet *Fleet, client UpstreamClient) *Prober {
+	return &Prober{
+		clock:  clock,
+		fleet:  fleet,
+		client: client,
+		wake:   make(chan struct{}, 1),
+		tasks:  map[string]probeTask{},
+		first:  NewSet[string](),
+	}
+}
+
+// Wake makes the prober take in a change of the fleet's upstreams.
+func (p *Prober) Wake() {
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Run keeps a task for each upstream until ctx ends.
+func (p *Prober) Run(ctx context.Context) error {
+	var group errgroup.Group
+	for {
+		p.reconcile(ctx, &group)
+		select {
+		case <-p.wake:
+		case <-ctx.Done():
+			return group.Wait()
+		}
+	}
+}
+
+func (p *Prober) reconcile(ctx context.Context, group *errgroup.Group) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	wanted := map[string]Target{}
+	names := NewSet[string]()
+	for _, target := range p.fleet.Targets() {
+		wanted[target.Name] = target
+		names.Add(target.Name)
+	}
+	for name, task := range p.tasks {
+		if wanted[name] != task.target {
+			task.cancel()
+			delete(p.tasks, name)
+		}
+	}
+	p.client.Retain(names)
+	for name, target := range wanted {
+		if _, ok := p.tasks[name]; ok || target.Lanes < 1 {
+			continue
+		}
+		taskCtx, cancel := context.WithCancel(ctx)
+		p.tasks[name] = probeTask{target: target, cancel: cancel}
+		group.Go(func() error {
+			p.follow(taskCtx, target)
+			return nil
+		})
+	}
+}
+
+func (p *Prober) follow(ctx context.Context, target Target) {
+	for ctx.Err() == nil {
+		quiet := p.clock.Since(p.fleet.HeardAt(target.Name)) >= ProbeIntervalMillis
+		if quiet {
+			p.probe(ctx, target)
+		}
+		pause := ProbeIntervalMillis/2 + Millis(rand.Int64N(int64(ProbeIntervalMillis)))
+		_ = p.clock.Sleep(ctx, pause)
+	}
+}
+
+func (p *Prober) probe(ctx context.Context, target Target) {
+	limited, cancel := p.clock.WithDeadline(ctx, p.clock.Now()+ProbeTimeoutMillis)
+	defer cancel()
+	status, err := p.client.Probe(limited, target)
+	if err == nil {
+		p.fleet.Observe(target.Name, status)
+	}
+	p.mu.Lock()
+	p.first.Add(target.Name)
+	p.mu.Unlock()
+}
+
+// ProbeAll probes every upstream at once.
+func (p *Prober) ProbeAll(ctx context.Context) {
+	var group errgroup.Group
+	for _, target := range p.fleet.Targets() {
+		group.Go(func() error {
+			p.probe(ctx, target)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// AllTried reports whether every upstream has been probed at least once.
+func (p *Prober) AllTried() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name := range p.tasks {
+		if !p.first.Has(name) {
+			return false
+		}
+	}
+	return len(p.tasks) > 0
+}
--- /dev/null
+++ b/core/publications.go
@@ -0,0 +1,156 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/go-logr/logr"
+	"golang.org/x/sync/errgroup"
+)
+
+// Keys of the values that operators publish.
+const (
+	KeyConfiguration = "configuration"
+	KeyInstances     = "instances"
+)
+
+// ErrPlatformUnavailable means that the platform gave no usable answer.
+var ErrPlatformUnavailable = errors.New("platform unavailable")
+
+// Published is a value as the platform holds it.
+type Published struct {
+	Raw []byte
+	// Revision is the platform's own count of changes to the value.
+	Revision uint64
+}
+
+// Platform reads what operators published.
+type Platform interface {
+	// Read returns the value, waiting up to wait for a revision other than after.
+	// Its errors wrap ErrPlatformUnavailable.
+	Read(ctx context.Context, key string, after uint64, wait Millis) (Published, error)
+}
+
+// PublicationsParts are what the reader of the platform is built from.
+type PublicationsParts struct {
+	Clock    Clock
+	Platform Platform
+	Store    *Store
+	Peers    *Peers
+	Counters *Counters
+	Log      logr.Logger
+}
+
+// Publications brings what operators publish into the store. A few instances in
+// each zone watch the platform; the others hear of changes from their peers and
+// read for themselves only when there is no news of the platform at all.
+type Publications struct {
+	PublicationsParts
+
+	mu    sync.Mutex
+	first Set[string]
+}
+
+// NewPublications returns a reader that has read nothing yet.
+func NewPublications(parts PublicationsParts) *Publications {
+	return &Publications{PublicationsParts: parts, first: NewSet[string]()}
+}
+
+// Run reads until ctx ends.
+func (p *Publications) Run(ctx context.Context) error {
+	var group errgroup.Group
+	for _, key := range []string{KeyConfiguration, KeyInstances} {
+		group.Go(func() error {
+			p.follow(ctx, key)
+			return nil
+		})
+	}
+	return group.Wait()
+}
+
+// follow keeps one value current.
+func (p *Publications) follow(ctx context.Context, key string) {
+	var revision uint64
+	pause := PlatformRetryMinMillis
+	for ctx.Err() == nil {
+		if !p.due(key) {
+			_ = p.Clock.Sleep(ctx, jitter(PlatformRetryMinMillis))
+			continue
+		}
+		wait := WatchWaitMillis
+		if !p.tried(key) || !p.Peers.Reader() {
+			wait = 0
+		}
+		published, err := p.read(ctx, key, revision, wait)
+		if err != nil {
+			_ = p.Clock.Sleep(ctx, jitter(pause))
+			pause = min(2*pause, PlatformRetryMaxMillis)
+			continue
+		}
+		pause = PlatformRetryMinMillis
+		revision = published.Revision
+	}
+}
+
+func jitter(pause Millis) Millis {
+	return pause/2 + Millis(rand.Int64N(int64(pause)))
+}
+
+// due reports whether this instance should read the platform itself.
+func (p *Publications) due(key string) bool {
+	if !p.tried(key) || p.Peers.Reader() {
+		return true
+	}
+	return p.Store.PlatformAge() > PlatformSilenceMillis
+}
+
+func (p *Publications) tried(key string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.first.Has(key)
+}
+
+// AllTried reports whether each value has been asked for at least once.
+func (p *Publications) AllTried() bool {
+	return p.tried(KeyConfiguration) && p.tried(KeyInstances)
+}
+
+func (p *Publications) read(ctx context.Context, key string, after uint64, wait Millis) (Published, error) {
+	p.Counters.Add(CountPlatformReads, 1)
+	published, err := p.Platform.Read(ctx, key, after, wait)
+	p.mu.Lock()
+	p.first.Add(key)
+	p.mu.Unlock()
+	if err != nil {
+		p.Counters.Add(CountPlatformFailures, 1)
+		return Published{}, err
+	}
+	p.Store.HeardPlatform(0)
+	if published.Revision != after {
+		p.offer(key, published)
+	}
+	return published, nil
+}
+
+// Refresh reads the instance list at once.
+func (p *Publications) Refresh(ctx context.Context) error {
+	_, err := p.read(ctx, KeyInstances, 0, 0)
+	return err
+}
+
+func (p *Publications) offer(key string, published Published) {
+	var taken bool
+	var err error
+	if key == KeyConfiguration {
+		taken, err = p.Store.OfferConfiguration(published.Raw, "platform")
+	} else {
+		taken, err = p.Store.OfferInstanceList(published.Raw)
+	}
+	if err != nil {
+		p.Log.Error(err, "published value refused", "key", key, "revision", published.Revision)
+		return
+	}
+	p.Log.Info("published value read", "key", key, "revision", published.Revision, "newer", taken)
+}
--- /dev/null
+++ b/core/replica.go
@@ -0,0 +1,177 @@
+package core
+
+import "math"
+
+// replica is what the instance knows of one upstream.
+type replica struct {
+	upstream Upstream
+	service  string
+	slots    int
+	share    int
+
+	incarnation uint64
+	phase       Phase
+	snapshots   map[string]Set[uint64]
+	load        float64
+	heardAt     Millis
+
+	leavingSource string
+	leavingSince  Millis
+
+	inFlight  int
+	exclusive bool
+	limit     float64
+	latency   float64
+	usedAt    Millis
+	freshAt   Millis
+
+	failures     int
+	ejections    int
+	ejectedUntil Millis
+}
+
+func newReplica(service Service, upstream Upstream, share int) *replica {
+	r := &replica{upstream: upstream, service: service.Name}
+	r.resize(service.Slots, share)
+	return r
+}
+
+func (r *replica) resize(slots, share int) {
+	r.slots = slots
+	r.share = share
+	r.limit = float64(max(1, min(share, slots)))
+}
+
+func (r *replica) target() Target {
+	return Target{
+		Name:    r.upstream.Name,
+		Address: r.upstream.Address,
+		Service: r.service,
+		Lanes:   r.share,
+	}
+}
+
+// observe takes in a status. It returns false for one of a former incarnation.
+func (r *replica) observe(status UpstreamStatus, source string, now Millis) bool {
+	if status.Incarnation < r.incarnation {
+		return false
+	}
+	if status.Incarnation > r.incarnation {
+		r.restart(status.Incarnation, now)
+	}
+	r.heardAt = now
+	r.load = status.Load
+	if status.Snapshots != nil {
+		r.snapshots = status.Snapshots
+	}
+	if status.Phase == PhaseLeaving {
+		r.leave(source, now)
+	}
+	if r.phase != PhaseLeaving {
+		r.phase = status.Phase
+	}
+	return true
+}
+
+// restart forgets what was known of the former incarnation.
+func (r *replica) restart(incarnation uint64, now Millis) {
+	r.incarnation = incarnation
+	r.phase = PhaseUnknown
+	r.snapshots = nil
+	r.leavingSource = ""
+	r.leavingSince = 0
+	r.failures = 0
+	r.ejections = 0
+	r.ejectedUntil = 0
+	r.freshAt = now
+}
+
+func (r *replica) leave(source string, now Millis) {
+	if r.phase == PhaseLeaving {
+		return
+	}
+	r.phase = PhaseLeaving
+	r.leavingSource = source
+	r.leavingSince = now
+}
+
+func (r *replica) routable() bool {
+	return r.phase == PhaseLive
+}
+
+func (r *replica) serves(collection string, snapshot uint64) bool {
+	return r.snapshots[collection].Has(snapshot)
+}
+
+func (r *replica) ejected(now Millis) bool {
+	return now < r.ejectedUntil
+}
+
+func (r *replica) capacity() int {
+	return min(r.share, int(math.Floor(r.limit)))
+}
+
+func (r *replica) hasRoom(exclusive bool) bool {
+	if r.exclusive {
+		return false
+	}
+	if exclusive {
+		return r.inFlight == 0 && r.share > 0
+	}
+	return r.inFlight < r.capacity()
+}
+
+// score estimates the time that a request would take here; less is better.
+func (r *replica) score(zone string, now Millis) float64 {
+	latency := max(r.latency, 1)
+	if idle := now - r.usedAt; idle > 0 {
+		latency = max(1, latency*math.Exp2(-float64(idle)/float64(LatencyDecayMillis)))
+	}
+	score := latency * float64(r.inFlight+1)
+	if r.upstream.Zone == zone {
+		score *= LocalBias
+	}
+	if age := now - r.freshAt; r.freshAt > 0 && age < SlowStartMillis {
+		rest := 1 - float64(age)/float64(SlowStartMillis)
+		score *= 1 + (SlowStartFactor-1)*rest
+	}
+	return score
+}
+
+// succeed records the latency of a reply.
+func (r *replica) succeed(latency, now Millis) {
+	const weight = 0.2
+	if r.latency == 0 {
+		r.latency = float64(latency)
+	}
+	r.latency += weight * (float64(latency) - r.latency)
+	r.usedAt = now
+	r.failures = 0
+	r.ejections = 0
+	r.limit = min(float64(r.share), r.limit+LimitIncrease)
+}
+
+// slow records that an attempt was still without a reply after waited.
+func (r *replica) slow(waited, now Millis) {
+	if float64(waited) > r.latency {
+		r.latency = float64(waited)
+	}
+	r.usedAt = now
+}
+
+// shed lowers the concurrency limit after the upstream refused for want of room.
+func (r *replica) shed() {
+	r.limit = max(1, r.limit*LimitDecrease)
+}
+
+// fail counts a failure and ejects the replica after several in a row.
+func (r *replica) fail(now Millis) {
+	r.failures++
+	if r.failures < EjectAfterFailures {
+		return
+	}
+	pause := EjectMinMillis << min(r.ejections, 5)
+	r.ejectedUntil = now + min(pause, EjectMaxMillis)
+	r.ejections++
+	r.failures = 0
+}
--- /dev/null
+++ b/io/caller/server.go
@@ -0,0 +1,254 @@
+// Package caller speaks HTTP with callers: it serves their requests and is the
+// client that the command line uses.
+package caller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/go-logr/logr"
+
+	"acaciavane/core"
+)
+
+// bodySlackBytes is what a request may add to its body: names and identities.
+const bodySlackBytes = 16 << 10
+
+// Service is what an instance does for callers.
+type Service interface {
+	Query(ctx context.Context, request core.Request) core.Answer
+	Order(ctx context.Context, ticket core.Ticket, request core.Request) core.Answer
+	MintTicket(ctx context.Context) core.Ticket
+	// Ready reports whether the instance serves requests.
+	Ready() bool
+}
+
+// Server answers callers.
+type Server struct {
+	clock    core.Clock
+	instance string
+	service  Service
+	counters *core.Counters
+	observe  func(core.Answer)
+	newID    func() string
+	log      logr.Logger
+}
+
+// New returns a server that calls observe with each answer.
+func New(clock core.Clock, instance string, service Service, counters *core.Counters, observe func(core.Answer), newID func() string, log logr.Logger) *Server {
+	return &Server{
+		clock:    clock,
+		instance: instance,
+		service:  service,
+		counters: counters,
+		observe:  observe,
+		newID:    newID,
+		log:      log,
+	}
+}
+
+// Handler returns the HTTP handler of the callers' interface.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+PathQuery, s.serveQuery)
+	mux.HandleFunc("POST "+PathOrders, s.serveOrder)
+	mux.HandleFunc("POST "+PathTickets, s.serveTicket)
+	return mux
+}
+
+func (s *Server) serveQuery(w http.ResponseWriter, r *http.Request) {
+	request, _, refused := s.read(w, r)
+	if answer, ok := refused.Get(); ok {
+		s.reply(w, answer)
+		return
+	}
+	s.reply(w, s.service.Query(r.Context(), request))
+}
+
+func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
+	request, text, refused := s.read(w, r)
+	if answer, ok := refused.Get(); ok {
+		s.reply(w, answer)
+		return
+	}
+	ticket, err := decodeTicket(text)
+	if err != nil {
+		s.reply(w, s.refuse(request.ID, core.ReasonTicketInvalid, "an order needs a ticket from "+PathTickets))
+		return
+	}
+	s.reply(w, s.service.Order(r.Context(), ticket, request))
+}
+
+func (s *Server) serveTicket(w http.ResponseWriter, r *http.Request) {
+	if !s.service.Ready() {
+		s.reply(w, s.refuse("", core.ReasonNotReady, "the instance is not ready"))
+		return
+	}
+	ticket := s.service.MintTicket(r.Context())
+	s.writeJSON(w, http.StatusOK, TicketBody{
+		Ticket:        encodeTicket(ticket),
+		Instance:      ticket.Home.Instance,
+		ExpiresMillis: int64(core.TicketTTLMillis),
+	})
+}
+
+// read decodes a request or returns the answer that refuses it.
+func (s *Server) read(w http.ResponseWriter, r *http.Request) (core.Request, string, core.Option[core.Answer]) {
+	arrived := s.clock.Now()
+	refuse := func(id string, reason core.Reason, detail string) (core.Request, string, core.Option[core.Answer]) {
+		s.counters.Add(core.CountMalformedRequests, 1)
+		return core.Request{}, "", core.Some(s.refuse(id, reason, detail))
+	}
+	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, core.MaxBodyBytes+bodySlackBytes))
+	if err != nil {
+		var tooLarge *http.MaxBytesError
+		if errors.As(err, &tooLarge) {
+			return refuse("", core.ReasonTooLarge, fmt.Sprintf("a request may have %d bytes", core.MaxBodyBytes))
+		}
+		return refuse("", core.ReasonMalformed, "the request could not be read")
+	}
+	body, err := decodeBody(raw)
+	if err != nil {
+		return refuse("", core.ReasonMalformed, err.Error())
+	}
+	if len(body.RequestID) > core.MaxIdentityBytes {
+		return refuse("", core.ReasonTooLarge, fmt.Sprintf("requestId may have %d bytes", core.MaxIdentityBytes))
+	}
+	if body.TimeoutMillis < 0 {
+		return refuse(body.RequestID, core.ReasonDeadlinePassed, "timeoutMillis is negative")
+	}
+	if !s.service.Ready() {
+		return core.Request{}, "", core.Some(s.refuse(body.RequestID, core.ReasonNotReady, "the instance is not ready"))
+	}
+	return s.toRequest(body, arrived), body.Ticket, core.None[core.Answer]()
+}
+
+func decodeBody(raw []byte) (RequestBody, error) {
+	var body RequestBody
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&body); err != nil {
+		return RequestBody{}, fmt.Errorf("decode request: %w", err)
+	}
+	if decoder.More() {
+		return RequestBody{}, errors.New("decode request: more than one value")
+	}
+	return body, nil
+}
+
+func (s *Server) toRequest(body RequestBody, arrived core.Millis) core.Request {
+	request := core.Request{
+		ID:             body.RequestID,
+		Collection:     body.Collection,
+		Kind:           body.Kind,
+		Key:            body.Key,
+		Body:           body.Body,
+		SchemaVersions: core.NewSet(body.SchemaVersions...),
+		Deadline:       core.Millis(body.DeadlineUnixMillis),
+		Arrived:        arrived,
+	}
+	if request.ID == "" {
+		request.ID = s.newID()
+	}
+	if body.TimeoutMillis > 0 {
+		deadline := arrived + core.Millis(body.TimeoutMillis)
+		if request.Deadline == 0 || deadline < request.Deadline {
+			request.Deadline = deadline
+		}
+	}
+	return request
+}
+
+func (s *Server) refuse(id string, reason core.Reason, detail string) core.Answer {
+	if id == "" {
+		id = s.newID()
+	}
+	answer := core.Refuse(id, reason, detail)
+	answer.Instance = s.instance
+	s.counters.Add(core.CountRefused, 1)
+	return answer
+}
+
+func (s *Server) reply(w http.ResponseWriter, answer core.Answer) {
+	s.observe(answer)
+	s.writeLog(answer)
+	w.Header().Set("Acaciavane-Request-Id", headerValue(answer.RequestID))
+	w.Header().Set("Acaciavane-Outcome", string(answer.Outcome))
+	s.writeJSON(w, statusOf(answer), toAnswerBody(answer))
+}
+
+// headerValue replaces what a header line can't hold.
+func headerValue(text string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r > '~' {
+			return '?'
+		}
+		return r
+	}, text)
+}
+
+func (s *Server) writeLog(answer core.Answer) {
+	const verbose = 1
+	level := 0
+	if answer.Outcome == core.OutcomeAnswered {
+		level = verbose
+	}
+	s.log.V(level).Info("request ended",
+		"requestId", answer.RequestID, "outcome", answer.Outcome, "reason", answer.Reason,
+		"detail", answer.Detail, "coverage", answer.Coverage.Fraction(), "elapsedMillis", answer.Elapsed)
+}
+
+func (s *Server) writeJSON(w http.ResponseWriter, status int, body any) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		s.log.Error(err, "encode answer")
+		http.Error(w, "encode answer", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", fmt.Sprint(len(raw)))
+	w.WriteHeader(status)
+	_, _ = w.Write(raw)
+}
+
+// statusOf returns the HTTP status of an answer: 200 for a whole one, 206 for
+// one with less than full coverage, 502 and 504 for an unknown outcome.
+func statusOf(answer core.Answer) int {
+	switch answer.Outcome {
+	case core.OutcomeAnswered:
+		if answer.Coverage.Total > 0 && !answer.Coverage.Whole() {
+			return http.StatusPartialContent
+		}
+		return http.StatusOK
+	case core.OutcomeUnknown:
+		if answer.Reason == core.ReasonTimeout {
+			return http.StatusGatewayTimeout
+		}
+		return http.StatusBadGateway
+	}
+	return refusalStatus(answer.Reason)
+}
+
+func refusalStatus(reason core.Reason) int {
+	switch reason {
+	case core.ReasonMalformed, core.ReasonWrongMode, core.ReasonTicketInvalid, core.ReasonDeadlinePassed:
+		return http.StatusBadRequest
+	case core.ReasonUnknownCollection, core.ReasonUnknownKind:
+		return http.StatusNotFound
+	case core.ReasonDuplicateID, core.ReasonTicketReused:
+		return http.StatusConflict
+	case core.ReasonTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case core.ReasonCrashesUpstreams:
+		return http.StatusUnprocessableEntity
+	case core.ReasonOverloaded, core.ReasonUpstreamRefused:
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
--- /dev/null
+++ b/io/operator/metrics.go
@@ -0,0 +1,123 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"runtime/metrics"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
+	"go.opentelemetry.io/otel/metric"
+	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
+
+	"acaciavane/core"
+)
+
+// Metrics exports the instance's counters and the latencies of its answers.
+type Metrics struct {
+	registry *prometheus.Registry
+	provider *sdkmetric.MeterProvider
+	latency  metric.Float64Histogram
+}
+
+// Gauges are the figures that are read when metrics are collected.
+type Gauges struct {
+	InFlight             func() int
+	ConfigurationVersion func() uint64
+	PlatformAge          func() core.Millis
+	AlivePeers           func() int
+	ExtraLoadTokens      func() float64
+}
+
+// latencyBuckets are the upper bounds, in seconds, of the latency histogram.
+var latencyBuckets = []float64{.002, .005, .01, .02, .03, .045, .061, .09, .15, .3, .6, 1, 2, 5, 10, 60}
+
+// NewMetrics registers the counters and gauges of an instance.
+func NewMetrics(counters *core.Counters, gauges Gauges) (*Metrics, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
+	if err != nil {
+		return nil, fmt.Errorf("create metrics exporter: %w", err)
+	}
+	provider := sdkmetric.NewMeterProvider(sdkmetric.WithReader(exporter))
+	meter := provider.Meter("acaciavane")
+	if err := registerCounters(meter, counters); err != nil {
+		return nil, err
+	}
+	if err := registerGauges(meter, gauges); err != nil {
+		return nil, err
+	}
+	latency, err := meter.Float64Histogram("acaciavane.answer.latency",
+		metric.WithUnit("s"),
+		metric.WithDescription("Time from the arrival of a request to its answer."),
+		metric.WithExplicitBucketBoundaries(latencyBuckets...))
+	if err != nil {
+		return nil, fmt.Errorf("create latency histogram: %w", err)
+	}
+	return &Metrics{registry: registry, provider: provider, latency: latency}, nil
+}
+
+func registerCounters(meter metric.Meter, counters *core.Counters) error {
+	for _, counter := range counters.All() {
+		_, err := meter.Int64ObservableCounter("acaciavane."+counter.String(),
+			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
+				o.Observe(counters.Get(counter))
+				return nil
+			}))
+		if err != nil {
+			return fmt.Errorf("create counter %s: %w", counter, err)
+		}
+	}
+	return nil
+}
+
+func registerGauges(meter metric.Meter, gauges Gauges) error {
+	figures := []struct {
+		name string
+		read func() float64
+	}{
+		{"acaciavane.requestsInFlight", func() float64 { return float64(gauges.InFlight()) }},
+		{"acaciavane.configurationVersion", func() float64 { return float64(gauges.ConfigurationVersion()) }},
+		{"acaciavane.platformAgeMillis", func() float64 { return float64(gauges.PlatformAge()) }},
+		{"acaciavane.alivePeers", func() float64 { return float64(gauges.AlivePeers()) }},
+		{"acaciavane.extraLoadTokens", gauges.ExtraLoadTokens},
+		{"acaciavane.processorSeconds", processorSeconds},
+	}
+	for _, figure := range figures {
+		_, err := meter.Float64ObservableGauge(figure.name,
+			metric.WithFloat64Callback(func(_ context.Context, o metric.Float64Observer) error {
+				o.Observe(figure.read())
+				return nil
+			}))
+		if err != nil {
+			return fmt.Errorf("create gauge %s: %w", figure.name, err)
+		}
+	}
+	return nil
+}
+
+// heapBytes returns the bytes of live and not yet swept objects.
+func heapBytes() uint64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/heap/objects:bytes"}}
+	metrics.Read(sample)
+	return sample[0].Value.Uint64()
+}
+
+// Observe records an answer.
+func (m *Metrics) Observe(answer core.Answer) {
+	m.latency.Record(context.Background(), answer.Elapsed.Duration().Seconds(),
+		metric.WithAttributes(attribute.String("outcome", string(answer.Outcome))))
+}
+
+// Handler returns the scrape endpoint.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Close ends the collection.
+func (m *Metrics) Close(ctx context.Context) {
+	_ = m.provider.Shutdown(ctx)
+}
--- /dev/null
+++ b/io/operator/settings.go
@@ -0,0 +1,92 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+
+	"acaciavane/core"
+	"acaciavane/io/jsondoc"
+)
+
+// ErrInvalidSettings means that a settings file can't be used.
+var ErrInvalidSettings = errors.New("invalid settings")
+
+// Defaults of the settings.
+const (
+	defaultDrainMillis = 3 * core.Second
+	maxDrainMillis     = 5 * core.Minute
+)
+
+// Settings are what one process learns at its start.
+type Settings struct {
+	Instance string
+	Zone     string
+	// CallerAddress, PeerAddress and OperatorAddress are listened on.
+	CallerAddress string
+	PeerAddress   string
+	// ListenPeerAddress is listened on in place of PeerAddress where peers reach
+	// the instance through something that forwards.
+	ListenPeerAddress string
+	OperatorAddress   string
+	PlatformAddress   string
+	// SourceAddress is the IP number that connections are made from; empty
+	// leaves it to the system.
+	SourceAddress string
+	// Peers are the peer addresses of other instances, asked at the start.
+	Peers []string
+	// Drain is how long a stopping instance goes on serving, so that the
+	// balancer notices that it is not ready any more.
+	Drain    core.Millis
+	LogLevel string
+	Policy   core.Policy
+}
+
+// DecodeSettings reads a settings file; its errors name the given file.
+func DecodeSettings(file string, raw []byte) (Settings, error) {
+	root, doc, err := jsondoc.Parse(file, raw)
+	if err != nil {
+		return Settings{}, fmt.Errorf("%w: %w", ErrInvalidSettings, err)
+	}
+	settings := Settings{
+		Instance:        root.Field("instance").Text(),
+		Zone:            root.Field("zone").Text(),
+		CallerAddress:   root.Field("callerAddress").Address(),
+		PeerAddress:     root.Field("peerAddress").Address(),
+		OperatorAddress: root.Field("operatorAddress").Address(),
+		PlatformAddress: root.Field("platformAddress").Address(),
+		Drain:           core.Millis(root.Field("drainMillis").IntOr(0, int64(maxDrainMillis), int64(defaultDrainMillis))),
+		LogLevel:        "info",
+	}
+	settings.ListenPeerAddress = settings.PeerAddress
+	if listen := root.Field("listenPeerAddress"); listen.Present() {
+		settings.ListenPeerAddress = listen.Address()
+	}
+	if source := root.Field("sourceAddress"); source.Present() {
+		settings.SourceAddress = source.IP()
+	}
+	for _, item := range root.Field("peers").Items(0) {
+		settings.Peers = append(settings.Peers, item.Address())
+	}
+	if level := root.Field("logLevel"); level.Present() {
+		settings.LogLevel = level.OneOf(levelNames()...)
+	}
+	if policy := root.Field("policy"); policy.Present() {
+		settings.Policy = readPolicy(policy)
+	}
+	root.Close()
+	if err := doc.Err(); err != nil {
+		return Settings{}, fmt.Errorf("%w: %w", ErrInvalidSettings, err)
+	}
+	return settings, nil
+}
+
+func readPolicy(node *jsondoc.Node) core.Policy {
+	policy := core.Policy{
+		NoHedge:       node.Field("noHedge").BoolOr(false),
+		NoEarlyClose:  node.Field("noEarlyClose").BoolOr(false),
+		RandomReplica: node.Field("randomReplica").BoolOr(false),
+		NoGate:        node.Field("noGate").BoolOr(false),
+	}
+	node.Close()
+	return policy
+}
--- /dev/null
+++ b/io/operator/state.go
@@ -0,0 +1,209 @@
+package operator
+
+import "acaciavane/core"
+
+// State is everything that an instance tells operators of itself.
+type State struct {
+	Self             core.PeerInfo
+	Ready            bool
+	StartedAt        core.Millis
+	Now              core.Millis
+	InFlight         int
+	InForce          core.InForce
+	HasConfiguration bool
+	Refusals         []core.Refusal
+	Conflicts        int
+	List             core.InstanceList
+	PlatformAge      core.Millis
+	Reader           bool
+	Peers            []core.PeerStatus
+	Upstreams        []core.ReplicaState
+	Verdicts         []core.VerdictState
+	RememberedOrders int
+	ExtraLoadTokens  float64
+	Counters         *core.Counters
+}
+
+// StateBody is the state dump in JSON.
+type StateBody struct {
+	Instance          string            `json:"instance"`
+	Zone              string            `json:"zone"`
+	PeerAddress       string            `json:"peerAddress"`
+	Incarnation       uint64            `json:"incarnation"`
+	Ready             bool              `json:"ready"`
+	Leaving           bool              `json:"leaving"`
+	UptimeMillis      int64             `json:"uptimeMillis"`
+	RequestsInFlight  int               `json:"requestsInFlight"`
+	RememberedOrders  int               `json:"rememberedOrders"`
+	ExtraLoadTokens   float64           `json:"extraLoadTokens"`
+	HeapBytes         uint64            `json:"heapBytes"`
+	ProcessorSeconds  float64           `json:"processorSeconds"`
+	PlatformReader    bool              `json:"platformReader"`
+	PlatformAgeMillis int64             `json:"platformAgeMillis"`
+	Configuration     ConfigurationBody `json:"configuration"`
+	InstanceList      ListBody          `json:"instanceList"`
+	Peers             []PeerBody        `json:"peers"`
+	Upstreams         []UpstreamBody    `json:"upstreams"`
+	Verdicts          []VerdictBody     `json:"verdicts"`
+	Counters          map[string]int64  `json:"counters"`
+}
+
+// ConfigurationBody says which configuration is in force.
+type ConfigurationBody struct {
+	Version     uint64        `json:"version"`
+	Digest      string        `json:"digest"`
+	Deployment  string        `json:"deployment"`
+	SinceMillis int64         `json:"inForceForMillis"`
+	Source      string        `json:"source"`
+	Conflicts   int           `json:"conflicts"`
+	Refused     []RefusalBody `json:"refused"`
+}
+
+// RefusalBody is a configuration that was refused.
+type RefusalBody struct {
+	AgoMillis int64  `json:"agoMillis"`
+	Source    string `json:"source"`
+	Version   uint64 `json:"version,omitempty"`
+	Digest    string `json:"digest,omitempty"`
+	Reason    string `json:"reason"`
+}
+
+// ListBody sums up the platform's instance list.
+type ListBody struct {
+	Revision uint64 `json:"revision"`
+	Members  int    `json:"members"`
+}
+
+// PeerBody is the view of another instance.
+type PeerBody struct {
+	Name                 string `json:"name"`
+	Zone                 string `json:"zone"`
+	Address              string `json:"address"`
+	Incarnation          uint64 `json:"incarnation"`
+	Leaving              bool   `json:"leaving"`
+	HeardAgoMillis       int64  `json:"heardAgoMillis"`
+	ConfigurationVersion uint64 `json:"configurationVersion"`
+	LastError            string `json:"lastError,omitempty"`
+}
+
+// UpstreamBody is the view of an upstream.
+type UpstreamBody struct {
+	Name             string              `json:"name"`
+	Service          string              `json:"service"`
+	Address          string              `json:"address"`
+	Zone             string              `json:"zone"`
+	Incarnation      uint64              `json:"incarnation"`
+	State            string              `json:"state"`
+	LeavingSource    string              `json:"leavingSource,omitempty"`
+	Snapshots        map[string][]uint64 `json:"snapshots"`
+	InFlight         int                 `json:"inFlight"`
+	ConcurrencyLimit float64             `json:"concurrencyLimit"`
+	ConnectionShare  int                 `json:"connectionShare"`
+	LatencyMillis    float64             `json:"latencyMillis"`
+	ReportedLoad     float64             `json:"reportedLoad"`
+	HeardAgoMillis   int64               `json:"heardAgoMillis"`
+	EjectedForMillis int64               `json:"ejectedForMillis"`
+}
+
+// VerdictBody is the verdict on a request that may crash upstreams.
+type VerdictBody struct {
+	Fingerprint string `json:"fingerprint"`
+	Verdict     string `json:"verdict"`
+	AgoMillis   int64  `json:"agoMillis"`
+}
+
+func toStateBody(state State) StateBody {
+	body := StateBody{
+		Instance:          state.Self.Name,
+		Zone:              state.Self.Zone,
+		PeerAddress:       state.Self.Address,
+		Incarnation:       state.Self.Incarnation,
+		Ready:             state.Ready,
+		Leaving:           state.Self.Leaving,
+		UptimeMillis:      int64(state.Now - state.StartedAt),
+		RequestsInFlight:  state.InFlight,
+		RememberedOrders:  state.RememberedOrders,
+		ExtraLoadTokens:   state.ExtraLoadTokens,
+		HeapBytes:         heapBytes(),
+		ProcessorSeconds:  processorSeconds(),
+		PlatformReader:    state.Reader,
+		PlatformAgeMillis: int64(state.PlatformAge),
+		Configuration:     toConfigurationBody(state),
+		InstanceList:      ListBody{Revision: state.List.Revision, Members: len(state.List.Members)},
+		Peers:             make([]PeerBody, 0, len(state.Peers)),
+		Upstreams:         make([]UpstreamBody, 0, len(state.Upstreams)),
+		Verdicts:          make([]VerdictBody, 0, len(state.Verdicts)),
+		Counters:          map[string]int64{},
+	}
+	for _, peer := range state.Peers {
+		body.Peers = append(body.Peers, toPeerBody(peer, state.Now))
+	}
+	for _, upstream := range state.Upstreams {
+		body.Upstreams = append(body.Upstreams, toUpstreamBody(upstream, state.Now))
+	}
+	for _, verdict := range state.Verdicts {
+		body.Verdicts = append(body.Verdicts, VerdictBody{
+			Fingerprint: verdict.Fingerprint,
+			Verdict:     string(verdict.Verdict),
+			AgoMillis:   int64(state.Now - verdict.At),
+		})
+	}
+	for _, counter := range state.Counters.All() {
+		body.Counters[counter.String()] = state.Counters.Get(counter)
+	}
+	return body
+}
+
+func toConfigurationBody(state State) ConfigurationBody {
+	body := ConfigurationBody{Conflicts: state.Conflicts, Refused: make([]RefusalBody, 0, len(state.Refusals))}
+	if state.HasConfiguration {
+		body.Version = state.InForce.Configuration.Version
+		body.Digest = state.InForce.Configuration.Digest
+		body.Deployment = state.InForce.Configuration.Deployment
+		body.SinceMillis = int64(state.Now - state.InForce.Since)
+		body.Source = state.InForce.Source
+	}
+	for _, refusal := range state.Refusals {
+		body.Refused = append(body.Refused, RefusalBody{
+			AgoMillis: int64(state.Now - refusal.At),
+			Source:    refusal.Source,
+			Version:   refusal.Version,
+			Digest:    refusal.Digest,
+			Reason:    refusal.Reason,
+		})
+	}
+	return body
+}
+
+func toPeerBody(peer core.PeerStatus, now core.Millis) PeerBody {
+	return PeerBody{
+		Name:                 peer.Info.Name,
+		Zone:                 peer.Info.Zone,
+		Address:              peer.Address,
+		Incarnation:          peer.Info.Incarnation,
+		Leaving:              peer.Info.Leaving,
+		HeardAgoMillis:       int64(now - peer.HeardAt),
+		ConfigurationVersion: peer.ConfigurationVersion,
+		LastError:            peer.LastError,
+	}
+}
+
+func toUpstreamBody(upstream core.ReplicaState, now core.Millis) UpstreamBody {
+	return UpstreamBody{
+		Name:             upstream.Name,
+		Service:          upstream.Service,
+		Address:          upstream.Address,
+		Zone:             upstream.Zone,
+		Incarnation:      upstream.Incarnation,
+		State:            string(upstream.Phase),
+		LeavingSource:    upstream.LeavingSource,
+		Snapshots:        upstream.Snapshots,
+		InFlight:         upstream.InFlight,
+		ConcurrencyLimit: upstream.Limit,
+		ConnectionShare:  upstream.Share,
+		LatencyMillis:    upstream.LatencyMillis,
+		ReportedLoad:     upstream.ReportedLoad,
+		HeardAgoMillis:   int64(now - upstream.HeardAt),
+		EjectedForMillis: int64(max(0, upstream.EjectedUntil-now)),
+	}
+}
--- /dev/null
+++ b/io/peer/client.go
@@ -0,0 +1,157 @@
+// Package peer speaks gRPC between entry instances.
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"acaciavane/core"
+	"acaciavane/io/peer/peerpb"
+)
+
+// maxMessageBytes holds two published values and the facts of one exchange.
+const maxMessageBytes = 4 * core.MaxPublishedBytes
+
+// Client implements core.PeerClient and core.OrderPeers.
+type Client struct {
+	clock    core.Clock
+	counters *core.Counters
+	dialer   *net.Dialer
+
+	mu          sync.Mutex
+	connections map[string]*grpc.ClientConn
+}
+
+// New returns a client without connections, which it will make with the dialer.
+func New(clock core.Clock, counters *core.Counters, dialer *net.Dialer) *Client {
+	return &Client{clock: clock, counters: counters, dialer: dialer, connections: map[string]*grpc.ClientConn{}}
+}
+
+func (c *Client) peer(address string) (peerpb.PeerClient, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if connection, ok := c.connections[address]; ok {
+		return peerpb.NewPeerClient(connection), nil
+	}
+	connection, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDisableServiceConfig(),
+		grpc.WithDisableRetry(),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return c.dialer.DialContext(ctx, "tcp", address)
+		}),
+		grpc.WithStatsHandler(byteCounter{counters: c.counters}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff: backoff.Config{
+				BaseDelay:  core.ExchangeIntervalMillis.Duration(),
+				Multiplier: 1.5,
+				Jitter:     0.2,
+				MaxDelay:   core.PeerRetryMaxMillis.Duration(),
+			},
+			MinConnectTimeout: core.ExchangeTimeoutMillis.Duration(),
+		}),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("connect to peer %s: %w", address, err)
+	}
+	c.connections[address] = connection
+	return peerpb.NewPeerClient(connection), nil
+}
+
+// Forget implements core.PeerClient.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if connection, ok := c.connections[address]; ok {
+		_ = connection.Close()
+		delete(c.connections, address)
+	}
+}
+
+// Close closes all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, connection := range c.connections {
+		_ = connection.Close()
+		delete(c.connections, address)
+	}
+}
+
+// Exchange implements core.PeerClient.
+func (c *Client) Exchange(ctx context.Context, address string, message core.Exchange) (core.Exchange, error) {
+	peer, err := c.peer(address)
+	if err != nil {
+		return core.Exchange{}, err
+	}
+	reply, err := peer.Exchange(ctx, toExchange(message))
+	if err != nil {
+		return core.Exchange{}, fmt.Errorf("exchange with peer %s: %w", address, err)
+	}
+	return fromExchange(reply)
+}
+
+// ForwardOrder implements core.OrderPeers.
+func (c *Client) ForwardOrder(ctx context.Context, address string, ticket core.Ticket, request core.Request) (core.Answer, error) {
+	peer, err := c.peer(address)
+	if err != nil {
+		return core.Answer{}, fmt.Errorf("%w: %w", core.ErrPeerUnreachable, err)
+	}
+	var timeout core.Millis
+	if request.Deadline != 0 {
+		timeout = max(1, request.Deadline-c.clock.Now())
+	}
+	reply, err := peer.ForwardOrder(ctx, toOrder(ticket, request, timeout))
+	if err != nil {
+		return core.Answer{}, fmt.Errorf("%w: forward to %s: %w", core.ErrPeerUnreachable, address, err)
+	}
+	answer, err := fromOrderReply(reply)
+	if err != nil {
+		return core.Answer{}, fmt.Errorf("%w: forward to %s: %w", core.ErrPeerUnreachable, address, err)
+	}
+	return answer, nil
+}
+
+// MintTicket implements core.OrderPeers.
+func (c *Client) MintTicket(ctx context.Context, address string) (core.Ticket, error) {
+	peer, err := c.peer(address)
+	if err != nil {
+		return core.Ticket{}, err
+	}
+	limited, cancel := c.clock.WithDeadline(ctx, c.clock.Now()+core.ExchangeTimeoutMillis)
+	defer cancel()
+	ticket, err := peer.MintTicket(limited, &peerpb.MintTicketRequest{})
+	if err != nil {
+		return core.Ticket{}, fmt.Errorf("mint ticket at %s: %w", address, err)
+	}
+	return fromTicket(ticket)
+}
+
+// errNotTaken means that a successor certainly did not take a book.
+var errNotTaken = errors.New("successor refused the tickets")
+
+// TakeOver implements core.OrderPeers.
+func (c *Client) TakeOver(ctx context.Context, address string, book core.BookCopy) error {
+	peer, err := c.peer(address)
+	if err != nil {
+		return err
+	}
+	_, err = peer.TakeOver(ctx, toBook(book))
+	switch status.Code(err) {
+	case codes.OK:
+		return nil
+	case codes.FailedPrecondition, codes.InvalidArgument, codes.Unimplemented:
+		return fmt.Errorf("%w: %w", errNotTaken, err)
+	}
+	return fmt.Errorf("%w: hand over to %s: %w", core.ErrPeerUnreachable, address, err)
+}
--- /dev/null
+++ b/io/peer/codec.go
@@ -0,0 +1,228 @@
+package peer
+
+import (
+	"errors"
+
+	"acaciavane/core"
+	"acaciavane/io/peer/peerpb"
+)
+
+// ErrMalformed means that a message of a peer can't be understood.
+var ErrMalformed = errors.New("malformed message of a peer")
+
+func toExchange(message core.Exchange) *peerpb.ExchangeMessage {
+	wire := &peerpb.ExchangeMessage{
+		From:                 toInstance(message.From),
+		ConfigurationVersion: message.ConfigurationVersion,
+		ConfigurationDigest:  message.ConfigurationDigest,
+		Configuration:        message.Configuration,
+		ListRevision:         message.ListRevision,
+		InstanceList:         message.InstanceList,
+		PlatformAgeMillis:    int64(message.PlatformAge),
+		Sequence:             message.Sequence,
+		SeenIncarnation:      message.SeenIncarnation,
+		SeenSequence:         message.SeenSequence,
+	}
+	for _, fact := range message.Facts {
+		wire.Facts = append(wire.Facts, toFact(fact))
+	}
+	return wire
+}
+
+func fromExchange(wire *peerpb.ExchangeMessage) (core.Exchange, error) {
+	message := core.Exchange{
+		From:                 fromInstance(wire.GetFrom()),
+		ConfigurationVersion: wire.GetConfigurationVersion(),
+		ConfigurationDigest:  wire.GetConfigurationDigest(),
+		Configuration:        wire.GetConfiguration(),
+		ListRevision:         wire.GetListRevision(),
+		InstanceList:         wire.GetInstanceList(),
+		PlatformAge:          max(0, core.Millis(wire.GetPlatformAgeMillis())),
+		Sequence:             wire.GetSequence(),
+		SeenIncarnation:      wire.GetSeenIncarnation(),
+		SeenSequence:         wire.GetSeenSequence(),
+	}
+	if message.From.Name == "" || message.From.Address == "" || message.From.Incarnation == 0 {
+		return core.Exchange{}, ErrMalformed
+	}
+	for _, fact := range wire.GetFacts() {
+		message.Facts = append(message.Facts, fromFact(fact))
+	}
+	return message, nil
+}
+
+func toInstance(info core.PeerInfo) *peerpb.Instance {
+	return &peerpb.Instance{
+		Name:        info.Name,
+		Zone:        info.Zone,
+		Address:     info.Address,
+		Incarnation: info.Incarnation,
+		Leaving:     info.Leaving,
+	}
+}
+
+func fromInstance(wire *peerpb.Instance) core.PeerInfo {
+	return core.PeerInfo{
+		Name:        wire.GetName(),
+		Zone:        wire.GetZone(),
+		Address:     wire.GetAddress(),
+		Incarnation: wire.GetIncarnation(),
+		Leaving:     wire.GetLeaving(),
+	}
+}
+
+func toFact(fact core.Fact) *peerpb.Fact {
+	return &peerpb.Fact{
+		Kind:      string(fact.Kind),
+		Subject:   fact.Subject,
+		Stamp:     fact.Stamp,
+		Verdict:   string(fact.Verdict),
+		Crashes:   uint32(fact.Crashes),
+		Address:   fact.Address,
+		AgeMillis: int64(fact.Age),
+	}
+}
+
+func fromFact(wire *peerpb.Fact) core.Fact {
+	return core.Fact{
+		Kind:    core.FactKind(wire.GetKind()),
+		Subject: wire.GetSubject(),
+		Stamp:   wire.GetStamp(),
+		Verdict: core.Verdict(wire.GetVerdict()),
+		Crashes: int(wire.GetCrashes()),
+		Address: wire.GetAddress(),
+		Age:     max(0, core.Millis(wire.GetAgeMillis())),
+	}
+}
+
+func toHome(home core.Home) *peerpb.Home {
+	return &peerpb.Home{Instance: home.Instance, Incarnation: home.Incarnation}
+}
+
+func fromHome(wire *peerpb.Home) core.Home {
+	return core.Home{Instance: wire.GetInstance(), Incarnation: wire.GetIncarnation()}
+}
+
+func toTicket(ticket core.Ticket) *peerpb.Ticket {
+	return &peerpb.Ticket{
+		Home:          toHome(ticket.Home),
+		Address:       ticket.Address,
+		ExpiresMillis: int64(ticket.Expires),
+		Nonce:         ticket.Nonce[:],
+		Proof:         ticket.Proof[:],
+	}
+}
+
+func fromTicket(wire *peerpb.Ticket) (core.Ticket, error) {
+	ticket := core.Ticket{
+		Home:    fromHome(wire.GetHome()),
+		Address: wire.GetAddress(),
+		Expires: core.Millis(wire.GetExpiresMillis()),
+	}
+	if len(wire.GetNonce()) != len(ticket.Nonce) || len(wire.GetProof()) != len(ticket.Proof) {
+		return core.Ticket{}, ErrMalformed
+	}
+	copy(ticket.Nonce[:], wire.GetNonce())
+	copy(ticket.Proof[:], wire.GetProof())
+	return ticket, nil
+}
+
+func toOrder(ticket core.Ticket, request core.Request, timeout core.Millis) *peerpb.OrderRequest {
+	return &peerpb.OrderRequest{
+		Ticket:        toTicket(ticket),
+		RequestId:     request.ID,
+		Collection:    request.Collection,
+		Kind:          request.Kind,
+		Key:           request.Key,
+		Body:          request.Body,
+		TimeoutMillis: int64(timeout),
+	}
+}
+
+func fromOrder(wire *peerpb.OrderRequest, now core.Millis) (core.Ticket, core.Request, error) {
+	ticket, err := fromTicket(wire.GetTicket())
+	if err != nil {
+		return core.Ticket{}, core.Request{}, err
+	}
+	request := core.Request{
+		ID:         wire.GetRequestId(),
+		Collection: wire.GetCollection(),
+		Kind:       wire.GetKind(),
+		Key:        wire.GetKey(),
+		Body:       wire.GetBody(),
+		Arrived:    now,
+	}
+	if timeout := wire.GetTimeoutMillis(); timeout != 0 {
+		request.Deadline = now + core.Millis(timeout)
+	}
+	return ticket, request, nil
+}
+
+func toOrderReply(answer core.Answer) *peerpb.OrderReply {
+	return &peerpb.OrderReply{
+		Outcome:              string(answer.Outcome),
+		Reason:               string(answer.Reason),
+		Detail:               answer.Detail,
+		ConfigurationVersion: answer.ConfigurationVersion,
+		Result:               answer.Result,
+		Attempts:             uint32(answer.Attempts),
+		Shards:               uint32(answer.Shards),
+	}
+}
+
+func fromOrderReply(wire *peerpb.OrderReply) (core.Answer, error) {
+	answer := core.Answer{
+		Outcome:              core.Outcome(wire.GetOutcome()),
+		Reason:               core.Reason(wire.GetReason()),
+		Detail:               wire.GetDetail(),
+		ConfigurationVersion: wire.GetConfigurationVersion(),
+		Result:               wire.GetResult(),
+		Attempts:             int(wire.GetAttempts()),
+		Shards:               int(wire.GetShards()),
+	}
+	switch answer.Outcome {
+	case core.OutcomeAnswered:
+		answer.Sufficient = true
+		return answer, nil
+	case core.OutcomeNotRun, core.OutcomeUnknown:
+		return answer, nil
+	}
+	return core.Answer{}, ErrMalformed
+}
+
+func toBook(book core.BookCopy) *peerpb.Book {
+	wire := &peerpb.Book{Home: toHome(book.Home), Secret: book.Secret}
+	for _, run := range book.Runs {
+		wire.Runs = append(wire.Runs, &peerpb.Run{
+			Nonce:         run.Nonce[:],
+			Fingerprint:   run.Fingerprint,
+			ExpiresMillis: int64(run.Expires),
+			Answer:        toOrderReply(run.Answer),
+		})
+	}
+	return wire
+}
+
+func fromBook(wire *peerpb.Book) (core.BookCopy, error) {
+	book := core.BookCopy{Home: fromHome(wire.GetHome()), Secret: wire.GetSecret()}
+	if len(book.Secret) == 0 || book.Home.Incarnation == 0 {
+		return core.BookCopy{}, ErrMalformed
+	}
+	for _, run := range wire.GetRuns() {
+		answer, err := fromOrderReply(run.GetAnswer())
+		if err != nil {
+			return core.BookCopy{}, err
+		}
+		copied := core.RunCopy{
+			Fingerprint: run.GetFingerprint(),
+			Expires:     core.Millis(run.GetExpiresMillis()),
+			Answer:      answer,
+		}
+		if len(run.GetNonce()) != len(copied.Nonce) {
+			return core.BookCopy{}, ErrMalformed
+		}
+		copy(copied.Nonce[:], run.GetNonce())
+		book.Runs = append(book.Runs, copied)
+	}
+	return book, nil
+}
--- /dev/null
+++ b/io/platform/client.go
@@ -0,0 +1,88 @@
+// Package platform reads what operators publish: it speaks HTTP to the
+// platform's configuration service and decodes the published documents.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"acaciavane/core"
+)
+
+// Headers and limits of the platform's interface.
+const (
+	headerRevision = "Platform-Revision"
+	replySlack     = 2 * core.Second
+)
+
+// Client reads values of the platform. A read is
+//
+//	GET /v1/values/KEY?after=REVISION&waitMillis=N
+//
+// and is answered with the value and its revision in the header
+// Platform-Revision. With a wait, it is answered as soon as the revision differs
+// from after, and with status 304 when the wait is over.
+type Client struct {
+	address string
+	http    *http.Client
+}
+
+// New returns a client of the platform at an address of an IP number and a port.
+func New(address string, dialer *net.Dialer) *Client {
+	return &Client{address: address, http: &http.Client{Transport: &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: 2,
+		IdleConnTimeout:     30 * time.Second,
+	}}}
+}
+
+// Read implements core.Platform.
+func (c *Client) Read(ctx context.Context, key string, after uint64, wait core.Millis) (core.Published, error) {
+	ctx, cancel := context.WithTimeout(ctx, (wait + replySlack).Duration())
+	defer cancel()
+	response, err := c.get(ctx, key, after, wait)
+	if err != nil {
+		return core.Published{}, fmt.Errorf("%w: %w", core.ErrPlatformUnavailable, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusNotModified {
+		return core.Published{Revision: after}, nil
+	}
+	return readValue(response)
+}
+
+func (c *Client) get(ctx context.Context, key string, after uint64, wait core.Millis) (*http.Response, error) {
+	query := url.Values{}
+	query.Set("after", strconv.FormatUint(after, 10))
+	query.Set("waitMillis", strconv.FormatInt(int64(wait), 10))
+	target := "http://" + c.address + "/v1/values/" + url.PathEscape(key) + "?" + query.Encode()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return nil, err
+	}
+	return c.http.Do(request)
+}
+
+func readValue(response *http.Response) (core.Published, error) {
+	if response.StatusCode != http.StatusOK {
+		return core.Published{}, fmt.Errorf("%w: status %d", core.ErrPlatformUnavailable, response.StatusCode)
+	}
+	revision, err := strconv.ParseUint(response.Header.Get(headerRevision), 10, 64)
+	if err != nil {
+		return core.Published{}, fmt.Errorf("%w: header %s: %w", core.ErrPlatformUnavailable, headerRevision, err)
+	}
+	raw, err := io.ReadAll(io.LimitReader(response.Body, core.MaxPublishedBytes+1))
+	if err != nil {
+		return core.Published{}, fmt.Errorf("%w: %w", core.ErrPlatformUnavailable, err)
+	}
+	if len(raw) > core.MaxPublishedBytes {
+		return core.Published{}, fmt.Errorf("%w: value over %d bytes", core.ErrPlatformUnavailable, core.MaxPublishedBytes)
+	}
+	return core.Published{Raw: raw, Revision: revision}, nil
+}
--- /dev/null
+++ b/io/platform/decoder.go
@@ -0,0 +1,211 @@
+package platform
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+
+	"acaciavane/core"
+	"acaciavane/io/jsondoc"
+)
+
+// ErrInvalidDocument means that a published document can't be put in force.
+var ErrInvalidDocument = errors.New("invalid document")
+
+// Decoder reads the documents that operators publish.
+type Decoder struct{}
+
+// NewDecoder returns a decoder.
+func NewDecoder() Decoder {
+	return Decoder{}
+}
+
+// Configuration implements core.Decoder.
+func (d Decoder) Configuration(raw []byte) (core.Configuration, error) {
+	return d.ConfigurationFile("configuration", raw)
+}
+
+// ConfigurationFile reads a configuration; its errors name the given file.
+func (Decoder) ConfigurationFile(file string, raw []byte) (core.Configuration, error) {
+	if len(raw) > core.MaxPublishedBytes {
+		return core.Configuration{}, fmt.Errorf("%w: %s: %d bytes; the platform holds at most %d",
+			ErrInvalidDocument, file, len(raw), core.MaxPublishedBytes)
+	}
+	root, doc, err := jsondoc.Parse(file, raw)
+	if err != nil {
+		return core.Configuration{}, fmt.Errorf("%w: %w", ErrInvalidDocument, err)
+	}
+	configuration := readConfiguration(root)
+	if err := doc.Err(); err != nil {
+		return core.Configuration{}, fmt.Errorf("%w: %w", ErrInvalidDocument, err)
+	}
+	sum := sha256.Sum256(raw)
+	configuration.Digest = hex.EncodeToString(sum[:])
+	configuration.Raw = slices.Clone(raw)
+	return configuration, nil
+}
+
+func readConfiguration(root *jsondoc.Node) core.Configuration {
+	configuration := core.Configuration{
+		Version:      uint64(root.Field("version").Int(1, math.MaxInt64)),
+		Deployment:   root.Field("deployment").Text(),
+		MaxInstances: int(root.Field("maxInstances").Int(1, 10_000)),
+	}
+	services := map[string]bool{}
+	upstreams := map[string]bool{}
+	for _, node := range root.Field("services").Items(1) {
+		service := readService(node, configuration.MaxInstances, upstreams)
+		if services[service.Name] {
+			node.Field("name").Fail("the service %q stands twice", service.Name)
+		}
+		services[service.Name] = true
+		configuration.Services = append(configuration.Services, service)
+	}
+	collections := map[string]bool{}
+	for _, node := range root.Field("collections").Items(1) {
+		collection := readCollection(node, services)
+		if collections[collection.Name] {
+			node.Field("name").Fail("the collection %q stands twice", collection.Name)
+		}
+		collections[collection.Name] = true
+		configuration.Collections = append(configuration.Collections, collection)
+	}
+	root.Close()
+	return configuration
+}
+
+func readService(node *jsondoc.Node, maxInstances int, upstreams map[string]bool) core.Service {
+	service := core.Service{
+		Name:        node.Field("name").Text(),
+		Slots:       int(node.Field("slots").Int(1, 10_000)),
+		Connections: int(node.Field("connections").Int(1, 1_000_000)),
+	}
+	if service.Connections < maxInstances {
+		node.Field("connections").Fail("must be at least maxInstances (%d), so that each instance may open one", maxInstances)
+	}
+	for _, item := range node.Field("upstreams").Items(1) {
+		upstream := core.Upstream{
+			Name:    item.Field("name").Text(),
+			Address: item.Field("address").Address(),
+			Zone:    item.Field("zone").Text(),
+		}
+		item.Close()
+		if upstreams[upstream.Name] {
+			item.Field("name").Fail("the upstream %q stands twice", upstream.Name)
+		}
+		upstreams[upstream.Name] = true
+		service.Upstreams = append(service.Upstreams, upstream)
+	}
+	node.Close()
+	return service
+}
+
+func readCollection(node *jsondoc.Node, services map[string]bool) core.Collection {
+	collection := core.Collection{Name: node.Field("name").Text()}
+	ids := map[uint64]bool{}
+	for _, item := range node.Field("snapshots").Items(1) {
+		snapshot := readSnapshot(item, services)
+		if ids[snapshot.ID] {
+			item.Field("id").Fail("the snapshot stands twice")
+		}
+		ids[snapshot.ID] = true
+		collection.Snapshots = append(collection.Snapshots, snapshot)
+	}
+	kinds := map[string]bool{}
+	for _, item := range node.Field("kinds").Items(1) {
+		kind := readKind(item)
+		if kinds[kind.Name] {
+			item.Field("name").Fail("the kind %q stands twice", kind.Name)
+		}
+		kinds[kind.Name] = true
+		collection.Kinds = append(collection.Kinds, kind)
+	}
+	node.Close()
+	return collection
+}
+
+func readSnapshot(node *jsondoc.Node, services map[string]bool) core.Snapshot {
+	snapshot := core.Snapshot{ID: uint64(node.Field("id").Int(1, math.MaxInt64))}
+	partitions := node.Field("partitions")
+	var next uint64
+	for _, item := range partitions.Items(1) {
+		partition := core.Partition{
+			Range: core.KeyRange{
+				Start: uint64(item.Field("start").Int(0, int64(core.KeySpace))),
+				End:   uint64(item.Field("end").Int(0, int64(core.KeySpace))),
+			},
+			Service: item.Field("service").Text(),
+		}
+		item.Close()
+		if !services[partition.Service] {
+			item.Field("service").Fail("no service of this name in services")
+		}
+		if partition.Range.Start != next {
+			item.Field("start").Fail("must be %d, where the partition before ends", next)
+		}
+		if partition.Range.Size() == 0 {
+			item.Field("end").Fail("must be greater than start")
+		}
+		next = partition.Range.End
+		snapshot.Partitions = append(snapshot.Partitions, partition)
+	}
+	if next != core.KeySpace {
+		partitions.Fail("the last partition must end at %d, not at %d", core.KeySpace, next)
+	}
+	node.Close()
+	return snapshot
+}
+
+func readKind(node *jsondoc.Node) core.Kind {
+	kind := core.Kind{
+		Name: node.Field("name").Text(),
+		Mode: core.Mode(node.Field("mode").OneOf(
+			string(core.ModeSearch), string(core.ModeFetch), string(core.ModeOrder))),
+		Timeout:    core.Millis(node.Field("timeoutMillis").Int(1, int64(core.MaxTimeoutMillis))),
+		CloseAfter: core.Millis(node.Field("closeAfterMillis").IntOr(0, int64(core.MaxTimeoutMillis), 0)),
+		Priority:   int(node.Field("priority").Int(0, core.Priorities-1)),
+	}
+	kind.LeastCoverage = 1
+	if least := node.Field("leastCoverage"); least.Present() {
+		kind.LeastCoverage = least.Float(0, 1)
+	}
+	if kind.CloseAfter > kind.Timeout {
+		node.Field("closeAfterMillis").Fail("must be at most timeoutMillis (%d)", kind.Timeout)
+	}
+	node.Close()
+	return kind
+}
+
+// InstanceList implements core.Decoder.
+func (Decoder) InstanceList(raw []byte) (core.InstanceList, error) {
+	root, doc, err := jsondoc.Parse("instances", raw)
+	if err != nil {
+		return core.InstanceList{}, fmt.Errorf("%w: %w", ErrInvalidDocument, err)
+	}
+	list := core.InstanceList{Revision: uint64(root.Field("revision").Int(1, math.MaxInt64))}
+	for _, item := range root.Field("instances").Items(0) {
+		list.Members = append(list.Members, readMember(item))
+	}
+	root.Close()
+	if err := doc.Err(); err != nil {
+		return core.InstanceList{}, fmt.Errorf("%w: %w", ErrInvalidDocument, err)
+	}
+	list.Raw = slices.Clone(raw)
+	return list, nil
+}
+
+func readMember(node *jsondoc.Node) core.Member {
+	member := core.Member{
+		Name:        node.Field("name").Text(),
+		Role:        core.Role(node.Field("role").OneOf(string(core.RoleEntry), string(core.RoleUpstream))),
+		Zone:        node.Field("zone").Text(),
+		Address:     node.Field("address").Address(),
+		Incarnation: uint64(node.Field("incarnation").IntOr(0, math.MaxInt64, 0)),
+		Leaving:     node.Field("state").OneOf("live", "leaving") == "leaving",
+	}
+	node.Close()
+	return member
+}
--- /dev/null
+++ b/io/upstream/wire.go
@@ -0,0 +1,164 @@
+package upstream
+
+import "acaciavane/core"
+
+// Paths of the upstreams' interface.
+const (
+	PathSearch = "/v1/search"
+	PathOrder  = "/v1/order"
+	PathStatus = "/v1/status"
+)
+
+// Outcomes of a reply.
+const (
+	OutcomeAnswered = "answered"
+	OutcomeNotRun   = "notRun"
+)
+
+// ReasonNoSnapshot is the reason of a reply that was not run because the
+// upstream does not serve the pinned snapshot.
+const ReasonNoSnapshot = "noSnapshot"
+
+// Range is a half-open range of positions.
+type Range struct {
+	Start uint64 `json:"start"`
+	End   uint64 `json:"end"`
+}
+
+// SearchRequest asks an upstream for a part of a query.
+type SearchRequest struct {
+	QueryID       string  `json:"queryId"`
+	AttemptID     string  `json:"attemptId"`
+	Collection    string  `json:"collection"`
+	Kind          string  `json:"kind"`
+	Key           string  `json:"key,omitempty"`
+	Body          string  `json:"body,omitempty"`
+	Snapshot      uint64  `json:"snapshot"`
+	Ranges        []Range `json:"ranges"`
+	TimeoutMillis int64   `json:"timeoutMillis"`
+}
+
+// Record is one record of a reply.
+type Record struct {
+	Key           string `json:"key"`
+	SchemaVersion int    `json:"schemaVersion"`
+	Value         string `json:"value"`
+}
+
+// SearchReply is the reply to a SearchRequest. End repeats the attempt and is
+// the last field, so that a reply without it is known to be cut off.
+type SearchReply struct {
+	QueryID     string   `json:"queryId"`
+	AttemptID   string   `json:"attemptId"`
+	Outcome     string   `json:"outcome"`
+	Reason      string   `json:"reason,omitempty"`
+	Snapshot    uint64   `json:"snapshot,omitempty"`
+	Covered     []Range  `json:"covered,omitempty"`
+	Records     []Record `json:"records,omitempty"`
+	RecordCount int      `json:"recordCount"`
+	Status      Status   `json:"status"`
+	End         string   `json:"end"`
+}
+
+// OrderRequest asks an upstream to run a request that may not be repeated.
+type OrderRequest struct {
+	QueryID       string `json:"queryId"`
+	AttemptID     string `json:"attemptId"`
+	Collection    string `json:"collection"`
+	Kind          string `json:"kind"`
+	Key           string `json:"key"`
+	Body          string `json:"body,omitempty"`
+	OrderID       string `json:"orderId"`
+	TimeoutMillis int64  `json:"timeoutMillis"`
+}
+
+// OrderReply is the reply to an OrderRequest.
+type OrderReply struct {
+	QueryID   string `json:"queryId"`
+	AttemptID string `json:"attemptId"`
+	Outcome   string `json:"outcome"`
+	Reason    string `json:"reason,omitempty"`
+	Result    string `json:"result,omitempty"`
+	Status    Status `json:"status"`
+	End       string `json:"end"`
+}
+
+// Status is what an upstream says of itself.
+type Status struct {
+	Incarnation uint64              `json:"incarnation"`
+	State       string              `json:"state"`
+	Snapshots   map[string][]uint64 `json:"snapshots"`
+	Load        float64             `json:"load"`
+}
+
+func toRanges(ranges []core.KeyRange) []Range {
+	wire := make([]Range, len(ranges))
+	for i, r := range ranges {
+		wire[i] = Range{Start: r.Start, End: r.End}
+	}
+	return wire
+}
+
+func fromRanges(wire []Range) []core.KeyRange {
+	ranges := make([]core.KeyRange, len(wire))
+	for i, r := range wire {
+		ranges[i] = core.KeyRange{Start: r.Start, End: r.End}
+	}
+	return ranges
+}
+
+func fromRecords(wire []Record) []core.Record {
+	records := make([]core.Record, len(wire))
+	for i, r := range wire {
+		records[i] = core.Record{Key: r.Key, SchemaVersion: r.SchemaVersion, Value: r.Value}
+	}
+	return records
+}
+
+func fromStatus(wire Status) core.UpstreamStatus {
+	status := core.UpstreamStatus{
+		Incarnation: wire.Incarnation,
+		Phase:       fromState(wire.State),
+		Snapshots:   make(map[string]core.Set[uint64], len(wire.Snapshots)),
+		Load:        wire.Load,
+	}
+	for collection, ids := range wire.Snapshots {
+		status.Snapshots[collection] = core.NewSet(ids...)
+	}
+	return status
+}
+
+func fromState(state string) core.Phase {
+	switch core.Phase(state) {
+	case core.PhaseLive, core.PhaseStarting, core.PhaseLeaving:
+		return core.Phase(state)
+	}
+	return core.PhaseUnknown
+}
+
+func toSearchRequest(attempt core.SearchAttempt, now core.Millis) SearchRequest {
+	return SearchRequest{
+		QueryID:       attempt.QueryID,
+		AttemptID:     attempt.AttemptID,
+		Collection:    attempt.Collection,
+		Kind:          attempt.Kind,
+		Key:           attempt.Key,
+		Body:          attempt.Body,
+		Snapshot:      attempt.Snapshot,
+		Ranges:        toRanges(attempt.Ranges),
+		TimeoutMillis: int64(attempt.Deadline - now),
+	}
+}
+
+func toOrderRequest(attempt core.OrderAttempt, now core.Millis) OrderRequest {
+	return OrderRequest{
+		QueryID:       attempt.QueryID,
+		AttemptID:     attempt.AttemptID,
+		Collection:    attempt.Collection,
+		Kind:          attempt.Kind,
+		Key:           attempt.Key,
+		Body:          attempt.Body,
+		OrderID:       attempt.OrderID,
+		TimeoutMillis: int64(attempt.Deadline - now),
+	}
+}
