--- /dev/null
+++ b/core/fleet_test.go
@@ -0,0 +1,225 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// oneService returns a configuration of one service with the given replicas.
+func oneService(replicas, slots, connections, instances int) Configuration {
+	service := Service{Name: "s", Slots: slots, Connections: connections}
+	for i := range replicas {
+		service.Upstreams = append(service.Upstreams, Upstream{Name: fmt.Sprintf("u%d", i), Address: "a", Zone: fmt.Sprintf("z%d", i)})
+	}
+	return Configuration{Version: 1, MaxInstances: instances, Services: []Service{service}}
+}
+
+func live(incarnation uint64, snapshots ...uint64) UpstreamStatus {
+	return UpstreamStatus{
+		Incarnation: incarnation,
+		Phase:       PhaseLive,
+		Snapshots:   map[string]Set[uint64]{"c": NewSet(snapshots...)},
+	}
+}
+
+type fleetFixture struct {
+	clock *manualClock
+	fleet *Fleet
+	facts []Fact
+}
+
+func newFleetFixture(replicas int) *fleetFixture {
+	f := &fleetFixture{clock: &manualClock{now: 100 * Minute}}
+	f.fleet = NewFleet(f.clock.clock(), "z0", Policy{}, func(fact Fact) { f.facts = append(f.facts, fact) })
+	f.fleet.Apply(oneService(replicas, 2, 24, 12))
+	for i := range replicas {
+		f.fleet.Observe(fmt.Sprintf("u%d", i), live(1, 1))
+	}
+	f.clock.now += Minute
+	return f
+}
+
+func (f *fleetFixture) take(want Want) (*Permit, error) {
+	want.Service = "s"
+	want.Collection = "c"
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	return f.fleet.Acquire(ctx, want)
+}
+
+func TestFleet(t *testing.T) {
+	Convey("Given a fleet of two live replicas", t, func() {
+		f := newFleetFixture(2)
+		Convey("the local replica is preferred", func() {
+			permit, err := f.take(Want{})
+			So(err, ShouldBeNil)
+			So(permit.Target().Name, ShouldEqual, "u0")
+		})
+		Convey("a leaving replica gets nothing, and the others are told once", func() {
+			f.fleet.MarkLeaving("u0", 1, "peer")
+			f.fleet.MarkLeaving("u0", 1, "peer")
+			permit, err := f.take(Want{})
+			So(err, ShouldBeNil)
+			So(permit.Target().Name, ShouldEqual, "u1")
+			So(f.facts, ShouldHaveLength, 1)
+		})
+		Convey("word of a former incarnation does not bind its successor", func() {
+			f.fleet.Observe("u0", live(2, 1))
+			f.fleet.MarkLeaving("u0", 1, "instance list")
+			permit, err := f.take(Want{Exclude: NewSet("u1")})
+			So(err, ShouldBeNil)
+			So(permit.Target().Name, ShouldEqual, "u0")
+		})
+		Convey("a leaving replica stays so until its successor speaks", func() {
+			f.fleet.MarkLeaving("u0", 1, "peer")
+			f.fleet.Observe("u0", live(1, 1))
+			permit, _ := f.take(Want{})
+			So(permit.Target().Name, ShouldEqual, "u1")
+			permit.Release()
+			f.fleet.Observe("u0", live(2, 1))
+			So(f.fleet.State()[0].Phase, ShouldEqual, PhaseLive)
+		})
+		Convey("a permit that waited is not sendable once its upstream leaves", func() {
+			permit, _ := f.take(Want{})
+			So(permit.Sendable(), ShouldBeTrue)
+			f.fleet.MarkLeaving("u0", 1, "peer")
+			So(permit.Sendable(), ShouldBeFalse)
+		})
+		Convey("a waiter is turned away when the last replica leaves", func() {
+			for range 4 {
+				_, err := f.take(Want{})
+				So(err, ShouldBeNil)
+			}
+			go func() {
+				time.Sleep(2 * time.Millisecond)
+				f.fleet.MarkLeaving("u0", 1, "peer")
+				f.fleet.MarkLeaving("u1", 1, "peer")
+			}()
+			_, err := f.take(Want{})
+			So(err, ShouldEqual, ErrNoReplica)
+		})
+		Convey("only replicas that serve the pinned snapshot are chosen", func() {
+			f.fleet.Observe("u1", live(1, 1, 2))
+			permit, err := f.take(Want{Snapshot: 2})
+			So(err, ShouldBeNil)
+			So(permit.Target().Name, ShouldEqual, "u1")
+			_, err = f.take(Want{Snapshot: 3})
+			So(err, ShouldEqual, ErrNoReplica)
+		})
+		Convey("ejection never empties the service", func() {
+			for _, name := range []string{"u0", "u1"} {
+				for range 2 * EjectAfterFailures {
+					permit, err := f.take(Want{Exclude: NewSet(other(name))})
+					So(err, ShouldBeNil)
+					permit.Fail(&AttemptError{Kind: FailureLost})
+				}
+			}
+			_, err := f.take(Want{})
+			So(err, ShouldBeNil)
+		})
+		Convey("a slow replica is avoided, and tried again later", func() {
+			permit, _ := f.take(Want{})
+			f.clock.now += 400
+			permit.Succeed(live(1, 1))
+			permit, _ = f.take(Want{})
+			So(permit.Target().Name, ShouldEqual, "u1")
+			permit.Succeed(live(1, 1))
+			f.clock.now += 20 * LatencyDecayMillis
+			permit, _ = f.take(Want{})
+			So(permit.Target().Name, ShouldEqual, "u0")
+		})
+		Convey("the higher priority is served first", func() {
+			var held []*Permit
+			for range 4 {
+				permit, _ := f.take(Want{})
+				held = append(held, permit)
+			}
+			order := make(chan int, 2)
+			for _, priority := range []int{0, 2} {
+				go func() {
+					permit, err := f.fleet.Acquire(context.Background(), Want{Service: "s", Priority: priority})
+					if err == nil {
+						order <- priority
+						permit.Release()
+					}
+				}()
+				time.Sleep(5 * time.Millisecond)
+			}
+			held[0].Release()
+			So(<-order, ShouldEqual, 2)
+			So(<-order, ShouldEqual, 0)
+		})
+		Convey("an isolated run has a replica to itself", func() {
+			permit, err := f.take(Want{Exclusive: true})
+			So(err, ShouldBeNil)
+			second, err := f.take(Want{Exclude: NewSet(other(permit.Target().Name))})
+			So(second, ShouldBeNil)
+			So(err, ShouldNotBeNil)
+		})
+		Convey("the last replica is spared when that is asked", func() {
+			f.fleet.MarkLeaving("u0", 1, "peer")
+			_, err := f.take(Want{SpareLast: true})
+			So(err, ShouldEqual, ErrNoReplica)
+		})
+	})
+}
+
+func other(name string) string {
+	if name == "u0" {
+		return "u1"
+	}
+	return "u0"
+}
+
+// TestSharesNeverExceedTheLimit checks the sum of the shares of all instances,
+// whatever each of them knows of the others.
+func TestSharesNeverExceedTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(1, 50).Draw(t, "instances")
+		connections := rapid.IntRange(instances, 500).Draw(t, "connections")
+		configuration := oneService(1, 2, connections, instances)
+		open := 0
+		for range instances {
+			fleet := NewFleet(NewClock(), "z0", Policy{}, func(Fact) {})
+			fleet.Apply(configuration)
+			open += fleet.Targets()[0].Lanes
+		}
+		if open > connections {
+			t.Fatalf("%d connections, limit %d", open, connections)
+		}
+	})
+}
+
+// TestPermitsStayWithinTheShare takes and releases permits in any order.
+func TestPermitsStayWithinTheShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleetFixture(2)
+		var held []*Permit
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "take") {
+				permit, err := f.fleet.Acquire(context.Background(), Want{Service: "s", NoWait: true})
+				if err == nil {
+					held = append(held, permit)
+				}
+			} else if len(held) > 0 {
+				permit := held[0]
+				held = held[1:]
+				if rapid.Bool().Draw(t, "shed") {
+					permit.Fail(&AttemptError{Kind: FailureNotRun})
+				} else {
+					permit.Succeed(live(1, 1))
+				}
+			}
+			for _, state := range f.fleet.State() {
+				if state.InFlight > state.Share || state.InFlight < 0 {
+					t.Fatalf("%d in flight, share %d", state.InFlight, state.Share)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/core/store_test.go
@@ -0,0 +1,89 @@
+package core
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+// textDecoder reads "VERSION DIGEST" in place of a document.
+type textDecoder struct{}
+
+func (textDecoder) Configuration(raw []byte) (Configuration, error) {
+	var c Configuration
+	if _, err := fmt.Sscan(string(raw), &c.Version, &c.Digest); err != nil {
+		return Configuration{}, errors.New("garbage")
+	}
+	c.Raw = raw
+	return c, nil
+}
+
+func (textDecoder) InstanceList(raw []byte) (InstanceList, error) {
+	var l InstanceList
+	_, err := fmt.Sscan(string(raw), &l.Revision)
+	return l, err
+}
+
+func newTestStore() *Store {
+	return NewStore(NewClock(), textDecoder{}, NewCounters())
+}
+
+func TestStore(t *testing.T) {
+	Convey("Given a store with version 5 in force", t, func() {
+		store := newTestStore()
+		_, err := store.OfferConfiguration([]byte("5 m"), "platform")
+		So(err, ShouldBeNil)
+		cases := []struct {
+			name, offer string
+			taken       bool
+			inForce     string
+			refused     int
+		}{
+			{"a newer version is taken", "6 a", true, "6 a", 0},
+			{"an older version is not", "4 z", false, "5 m", 0},
+			{"the same again is not", "5 m", false, "5 m", 0},
+			{"garbage is refused", "x", false, "5 m", 1},
+			{"the same version with a lower digest loses, loudly", "5 c", false, "5 m", 1},
+			{"the same version with a higher digest wins, loudly", "5 q", true, "5 q", 1},
+		}
+		for _, tc := range cases {
+			Convey(tc.name, func() {
+				taken, _ := store.OfferConfiguration([]byte(tc.offer), "platform")
+				So(taken, ShouldEqual, tc.taken)
+				current, _ := store.Current()
+				So(fmt.Sprint(current.Configuration.Version, " ", current.Configuration.Digest), ShouldEqual, tc.inForce)
+				refusals, _ := store.Refusals()
+				So(refusals, ShouldHaveLength, tc.refused)
+			})
+		}
+	})
+}
+
+func TestStoresAgreeWhateverTheOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		offer := rapid.Custom(func(t *rapid.T) string {
+			return fmt.Sprintf("%d %c", rapid.IntRange(1, 4).Draw(t, "version"), 'a'+rune(rapid.IntRange(0, 3).Draw(t, "digest")))
+		})
+		offers := rapid.SliceOfN(offer, 1, 12).Draw(t, "offers")
+		other := rapid.Permutation(offers).Draw(t, "other order")
+		first, second := newTestStore(), newTestStore()
+		var before Configuration
+		for i := range offers {
+			_, _ = first.OfferConfiguration([]byte(offers[i]), "platform")
+			_, _ = second.OfferConfiguration([]byte(other[i]), "platform")
+			current, _ := first.Current()
+			if before.Newer(current.Configuration) {
+				t.Fatalf("reverted from %d to %d", before.Version, current.Configuration.Version)
+			}
+			before = current.Configuration
+		}
+		a, _ := first.Current()
+		b, _ := second.Current()
+		if a.Configuration.Version != b.Configuration.Version || a.Configuration.Digest != b.Configuration.Digest {
+			t.Fatalf("%v and %v", a.Configuration, b.Configuration)
+		}
+	})
+}
