--- a/core/orders.go
+++ b/core/orders.go
@@ -370,6 +370,7 @@
 			continue
 		}
 		o.setMoved(book.Home, address)
+		o.notify(o.movedFact(book.Home, address))
 		return nil
 	}
 	return ErrPeerUnreachable
@@ -385,12 +386,16 @@
 	}
 	o.adopted[book.Home] = OpenBookCopy(o.engine.Clock, book)
 	o.mu.Unlock()
-	o.notify(Fact{
+	o.notify(o.movedFact(book.Home, o.address))
+}
+
+func (o *Orders) movedFact(home Home, address string) Fact {
+	return Fact{
 		Kind:    FactTicketsMoved,
-		Subject: book.Home.subject(),
+		Subject: home.subject(),
 		Stamp:   uint64(o.engine.Clock.Now()),
-		Address: o.address,
-	})
+		Address: address,
+	}
 }
 
 // Moved takes in word of a peer that took over the tickets of another.
--- a/core/peers.go
+++ b/core/peers.go
@@ -47,6 +47,9 @@
 	Exchange(ctx context.Context, address string, message Exchange) (Exchange, error)
 	// Forget closes the connection to an address.
 	Forget(address string)
+	// Reachable says that the peer at the address was heard, so that a pause
+	// before the next attempt to connect to it can end.
+	Reachable(address string)
 }
 
 // PeersParts are what the view of the other instances is built from.
@@ -318,11 +321,21 @@
 		p.peers[address] = &peerState{address: address}
 	}
 	p.mu.Unlock()
+	if p.failing(address) {
+		p.Client.Reachable(address)
+	}
 	p.absorb(address, message)
 	reply, _ := p.message(address)
 	return reply
 }
 
+// failing reports whether the last exchange with the peer failed.
+func (p *Peers) failing(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peers[address].failures() > 0
+}
+
 // absorb takes in what a peer said.
 func (p *Peers) absorb(address string, message Exchange) {
 	p.mu.Lock()
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -78,6 +78,15 @@
 	}
 }
 
+// Reachable implements core.PeerClient.
+func (c *Client) Reachable(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if connection, ok := c.connections[address]; ok {
+		connection.ResetConnectBackoff()
+	}
+}
+
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/standin/lab/cluster.go
+++ b/standin/lab/cluster.go
@@ -277,6 +277,20 @@
 			return err
 		}
 	}
+	return c.waitUpstreams()
+}
+
+// waitUpstreams waits until all upstream processes listen.
+func (c *Cluster) waitUpstreams() error {
+	for name := range c.upstreams {
+		err := c.retry(func() error {
+			_, err := c.MostConnections(name)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
 	return nil
 }
 
