--- /dev/null
+++ b/core/engine_test.go
@@ -0,0 +1,342 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// scriptedClient answers attempts by a function.
+type scriptedClient struct {
+	mu     sync.Mutex
+	search func(ctx context.Context, target Target, attempt SearchAttempt) (SearchReply, error)
+	order  func(target Target, attempt OrderAttempt) (OrderReply, error)
+	sent   []string
+}
+
+func (c *scriptedClient) Search(ctx context.Context, target Target, attempt SearchAttempt) (SearchReply, error) {
+	c.mu.Lock()
+	c.sent = append(c.sent, target.Name)
+	c.mu.Unlock()
+	return c.search(ctx, target, attempt)
+}
+
+func (c *scriptedClient) Order(_ context.Context, target Target, attempt OrderAttempt) (OrderReply, error) {
+	c.mu.Lock()
+	c.sent = append(c.sent, target.Name)
+	c.mu.Unlock()
+	return c.order(target, attempt)
+}
+
+func (c *scriptedClient) Probe(context.Context, Target) (UpstreamStatus, error) {
+	return live(1, 1, 2), nil
+}
+
+func (c *scriptedClient) Retain(Set[string]) {}
+
+// covered returns a reply that covers all that was asked.
+func covered(attempt SearchAttempt) SearchReply {
+	return SearchReply{Covered: attempt.Ranges, Status: live(1, 1, 2)}
+}
+
+// engineFixture is an engine over two services of two replicas each, with the
+// snapshots 1 and 2 of the collection "c".
+type engineFixture struct {
+	client     *scriptedClient
+	engine     *Engine
+	fleet      *Fleet
+	quarantine *Quarantine
+	counters   *Counters
+	ids        int
+}
+
+type fixedDecoder struct{ configuration Configuration }
+
+func (d fixedDecoder) Configuration([]byte) (Configuration, error) { return d.configuration, nil }
+func (fixedDecoder) InstanceList([]byte) (InstanceList, error)     { return InstanceList{}, nil }
+
+func twoServices() Configuration {
+	configuration := Configuration{Version: 4, MaxInstances: 2}
+	for _, name := range []string{"s1", "s2"} {
+		configuration.Services = append(configuration.Services, Service{
+			Name: name, Slots: 2, Connections: 8,
+			Upstreams: []Upstream{{Name: name + "a", Address: "a", Zone: "z"}, {Name: name + "b", Address: "b", Zone: "z"}},
+		})
+	}
+	halves := []Partition{
+		{Range: KeyRange{0, KeySpace / 2}, Service: "s1"},
+		{Range: KeyRange{KeySpace / 2, KeySpace}, Service: "s2"},
+	}
+	configuration.Collections = []Collection{{
+		Name:      "c",
+		Snapshots: []Snapshot{{ID: 1, Partitions: halves}, {ID: 2, Partitions: halves}},
+		Kinds: []Kind{
+			{Name: "wait", Mode: ModeSearch, Timeout: 150, LeastCoverage: 1, Priority: 2},
+			{Name: "early", Mode: ModeSearch, Timeout: 2000, CloseAfter: 50, LeastCoverage: 0.5, Priority: 2},
+			{Name: "order", Mode: ModeOrder, Timeout: 200, LeastCoverage: 1, Priority: 2},
+		},
+	}}
+	return configuration
+}
+
+func newEngineFixture() *engineFixture {
+	clock := NewClock()
+	f := &engineFixture{client: &scriptedClient{}, counters: NewCounters()}
+	f.fleet = NewFleet(clock, "z", Policy{}, func(Fact) {})
+	f.quarantine = NewQuarantine(clock, func(Fact) {})
+	store := NewStore(clock, fixedDecoder{twoServices()}, f.counters)
+	store.OnConfiguration(f.fleet.Apply)
+	_, _ = store.OfferConfiguration(nil, "test")
+	for _, name := range []string{"s1a", "s1b", "s2a", "s2b"} {
+		f.fleet.Observe(name, live(1, 1, 2))
+	}
+	f.engine = NewEngine(EngineParts{
+		Instance: "n", Clock: clock, Store: store, Fleet: f.fleet, Client: f.client,
+		Quarantine: f.quarantine, Budget: NewBudget(ExtraLoadShare, ExtraLoadBurst),
+		Pause:    NewPauseGuard(clock, f.counters, func(context.Context) {}),
+		Counters: f.counters, Gates: NewGateSet(Priorities),
+		NewID:       func() string { f.client.mu.Lock(); defer f.client.mu.Unlock(); f.ids++; return fmt.Sprint(f.ids) },
+		NotifyPeers: func(context.Context) {},
+	})
+	return f
+}
+
+func (f *engineFixture) query(kind string) Answer {
+	return f.engine.Query(context.Background(), Request{ID: "r", Collection: "c", Kind: kind, Arrived: f.engine.Clock.Now()})
+}
+
+func fail(kind FailureKind) (SearchReply, error) {
+	return SearchReply{}, &AttemptError{Kind: kind}
+}
+
+func TestQueries(t *testing.T) {
+	type search = func(ctx context.Context, target Target, attempt SearchAttempt) (SearchReply, error)
+	on := func(service string, broken, other search) search {
+		return func(ctx context.Context, target Target, attempt SearchAttempt) (SearchReply, error) {
+			if target.Service == service {
+				return broken(ctx, target, attempt)
+			}
+			return other(ctx, target, attempt)
+		}
+	}
+	sound := func(_ context.Context, _ Target, attempt SearchAttempt) (SearchReply, error) {
+		return covered(attempt), nil
+	}
+	always := func(kind FailureKind) search {
+		return func(context.Context, Target, SearchAttempt) (SearchReply, error) { return fail(kind) }
+	}
+	hang := func(ctx context.Context, _ Target, _ SearchAttempt) (SearchReply, error) {
+		<-ctx.Done()
+		return fail(FailureTimeout)
+	}
+	first := func(kind FailureKind) search {
+		var once sync.Once
+		return func(_ context.Context, _ Target, attempt SearchAttempt) (SearchReply, error) {
+			failed := false
+			once.Do(func() { failed = true })
+			if failed {
+				return fail(kind)
+			}
+			return covered(attempt), nil
+		}
+	}
+	cases := []struct {
+		name     string
+		kind     string
+		search   search
+		outcome  Outcome
+		reason   Reason
+		fraction float64
+		enough   bool
+	}{
+		{"all sound", "wait", sound, OutcomeAnswered, ReasonNone, 1, true},
+		{"one connection lost", "wait", on("s1", first(FailureLost), sound), OutcomeAnswered, ReasonNone, 1, true},
+		{"one bad reply", "wait", on("s1", first(FailureBadReply), sound), OutcomeAnswered, ReasonNone, 1, true},
+		{"one shed", "wait", on("s1", first(FailureNotRun), sound), OutcomeAnswered, ReasonNone, 1, true},
+		{"a shard that hangs", "wait", on("s1", hang, sound), OutcomeAnswered, ReasonNone, 0.5, false},
+		{"a shard that hangs, closed early", "early", on("s1", hang, sound), OutcomeAnswered, ReasonNone, 0.5, true},
+		{"a shard that always sheds", "wait", on("s1", always(FailureNotRun), sound), OutcomeAnswered, ReasonNone, 0.5, false},
+		{"every shard sheds: nothing ran", "wait", always(FailureNotRun), OutcomeNotRun, ReasonOverloaded, 0, false},
+		{"no connection can be made: nothing ran", "wait", always(FailureNotSent), OutcomeNotRun, ReasonNoUpstream, 0, false},
+		{"one shard may have run: not called not run", "wait", on("s1", always(FailureLost), always(FailureNotRun)), OutcomeUnknown, ReasonOverloaded, 0, false},
+		{"all hang: not called not run", "wait", hang, OutcomeUnknown, ReasonTimeout, 0, false},
+		{"bad replies only: not called not run", "wait", always(FailureBadReply), OutcomeUnknown, ReasonTimeout, 0, false},
+	}
+	Convey("A query with", t, func() {
+		for _, tc := range cases {
+			Convey(tc.name, func() {
+				f := newEngineFixture()
+				f.client.search = tc.search
+				answer := f.query(tc.kind)
+				So(answer.Outcome, ShouldEqual, tc.outcome)
+				So(answer.Reason, ShouldEqual, tc.reason)
+				So(answer.Coverage.Fraction(), ShouldAlmostEqual, tc.fraction)
+				So(answer.Sufficient, ShouldEqual, tc.enough)
+			})
+		}
+	})
+}
+
+func TestADroppedSnapshotRestartsTheWholeQuery(t *testing.T) {
+	Convey("When a shard drops the snapshot midway, all shards are asked at another", t, func() {
+		f := newEngineFixture()
+		asked := map[uint64]int{}
+		f.client.search = func(_ context.Context, target Target, attempt SearchAttempt) (SearchReply, error) {
+			f.client.mu.Lock()
+			asked[attempt.Snapshot]++
+			f.client.mu.Unlock()
+			if attempt.Snapshot == 2 && target.Service == "s1" {
+				return fail(FailureNoSnapshot)
+			}
+			return covered(attempt), nil
+		}
+		answer := f.query("wait")
+		So(answer.Snapshot, ShouldEqual, 1)
+		So(answer.Coverage.Whole(), ShouldBeTrue)
+		So(asked[1], ShouldEqual, 2)
+		So(f.counters.Get(CountSnapshotRestarts), ShouldEqual, 1)
+	})
+}
+
+func TestASuspectRunsOnOneUpstreamFirst(t *testing.T) {
+	Convey("Given a request that is a suspect", t, func() {
+		f := newEngineFixture()
+		request := Request{Collection: "c", Kind: "wait"}
+		f.quarantine.Suspect(request.Fingerprint())
+		Convey("if it survives there, all shards are asked and it is cleared", func() {
+			f.client.search = func(_ context.Context, _ Target, attempt SearchAttempt) (SearchReply, error) {
+				return covered(attempt), nil
+			}
+			So(f.query("wait").Coverage.Whole(), ShouldBeTrue)
+			So(f.quarantine.Verdict(request.Fingerprint()), ShouldEqual, VerdictCleared)
+		})
+		Convey("if not, no other shard is asked, and it is refused from then on", func() {
+			f.client.search = func(context.Context, Target, SearchAttempt) (SearchReply, error) { return fail(FailureLost) }
+			for f.quarantine.Verdict(request.Fingerprint()) != VerdictConvicted && len(f.client.sent) < 10 {
+				f.query("wait")
+				for _, name := range []string{"s1a", "s1b"} {
+					f.fleet.Observe(name, live(uint64(2+len(f.client.sent)), 1, 2))
+				}
+			}
+			So(len(f.client.sent), ShouldEqual, ConvictAfterCrashes)
+			So(f.client.sent, ShouldNotContain, "s2a")
+			So(f.query("wait").Reason, ShouldEqual, ReasonCrashesUpstreams)
+			So(len(f.client.sent), ShouldEqual, ConvictAfterCrashes)
+		})
+	})
+}
+
+func TestRequestsThatAreNotAdmitted(t *testing.T) {
+	Convey("Refused as not run, without any attempt, is", t, func() {
+		f := newEngineFixture()
+		f.client.search = func(_ context.Context, _ Target, attempt SearchAttempt) (SearchReply, error) {
+			return covered(attempt), nil
+		}
+		now := f.engine.Clock.Now()
+		cases := []struct {
+			name    string
+			request Request
+			reason  Reason
+		}{
+			{"an unknown collection", Request{ID: "r", Collection: "x", Kind: "wait", Arrived: now}, ReasonUnknownCollection},
+			{"an unknown kind", Request{ID: "r", Collection: "c", Kind: "x", Arrived: now}, ReasonUnknownKind},
+			{"a kind that may not be repeated", Request{ID: "r", Collection: "c", Kind: "order", Arrived: now}, ReasonWrongMode},
+			{"a deadline in the past", Request{ID: "r", Collection: "c", Kind: "wait", Arrived: now, Deadline: now - 1}, ReasonDeadlinePassed},
+		}
+		for _, tc := range cases {
+			Convey(tc.name, func() {
+				answer := f.engine.Query(context.Background(), tc.request)
+				So(answer.Outcome, ShouldEqual, OutcomeNotRun)
+				So(answer.Reason, ShouldEqual, tc.reason)
+				So(f.client.sent, ShouldBeEmpty)
+			})
+		}
+		Convey("a second request of the same identity while the first is in flight", func() {
+			release := make(chan struct{})
+			f.client.search = func(_ context.Context, _ Target, attempt SearchAttempt) (SearchReply, error) {
+				<-release
+				return covered(attempt), nil
+			}
+			firstAnswer := make(chan Answer)
+			go func() { firstAnswer <- f.query("early") }()
+			for f.engine.InFlight() == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			So(f.query("early").Reason, ShouldEqual, ReasonDuplicateID)
+			close(release)
+			So((<-firstAnswer).Outcome, ShouldEqual, OutcomeAnswered)
+		})
+	})
+}
+
+// noPeers can't be reached.
+type noPeers struct{}
+
+func (noPeers) ForwardOrder(context.Context, string, Ticket, Request) (Answer, error) {
+	return Answer{}, ErrPeerUnreachable
+}
+func (noPeers) MintTicket(context.Context, string) (Ticket, error) {
+	return Ticket{}, ErrPeerUnreachable
+}
+func (noPeers) TakeOver(context.Context, string, BookCopy) error { return ErrPeerUnreachable }
+
+func TestOrders(t *testing.T) {
+	cases := []struct {
+		name     string
+		failures []FailureKind
+		outcome  Outcome
+		reason   Reason
+		attempts int
+	}{
+		{"run", nil, OutcomeAnswered, ReasonNone, 1},
+		{"shed once, then run elsewhere", []FailureKind{FailureNotRun}, OutcomeAnswered, ReasonNone, 2},
+		{"not sent once, then run elsewhere", []FailureKind{FailureNotSent}, OutcomeAnswered, ReasonNone, 2},
+		{"shed everywhere", []FailureKind{FailureNotRun, FailureNotRun}, OutcomeNotRun, ReasonUpstreamRefused, 2},
+		{"lost", []FailureKind{FailureLost}, OutcomeUnknown, ReasonConnectionLost, 1},
+		{"answered by garbage", []FailureKind{FailureBadReply}, OutcomeUnknown, ReasonConnectionLost, 1},
+		{"timed out", []FailureKind{FailureTimeout}, OutcomeUnknown, ReasonTimeout, 1},
+		{"shed once, then lost", []FailureKind{FailureNotRun, FailureLost}, OutcomeUnknown, ReasonConnectionLost, 2},
+	}
+	Convey("An order that is", t, func() {
+		for _, tc := range cases {
+			Convey(tc.name, func() {
+				f := newEngineFixture()
+				failures := tc.failures
+				f.client.order = func(Target, OrderAttempt) (OrderReply, error) {
+					if len(failures) > 0 {
+						kind := failures[0]
+						failures = failures[1:]
+						return OrderReply{}, &AttemptError{Kind: kind}
+					}
+					return OrderReply{Result: "booked", Status: live(1, 1, 2)}, nil
+				}
+				orders := NewOrders(f.engine, noPeers{}, Home{"n", 1}, "a", func(Fact) {})
+				request := Request{ID: "r", Collection: "c", Kind: "order", Key: "k", Arrived: f.engine.Clock.Now()}
+				ticket := orders.Mint()
+				answer := orders.Run(context.Background(), ticket, request)
+				So(answer.Outcome, ShouldEqual, tc.outcome)
+				So(answer.Reason, ShouldEqual, tc.reason)
+				So(len(f.client.sent), ShouldEqual, tc.attempts)
+				again := orders.Run(context.Background(), ticket, request)
+				if tc.outcome != OutcomeNotRun {
+					So(again.Outcome, ShouldEqual, tc.outcome)
+					So(len(f.client.sent), ShouldEqual, tc.attempts)
+				}
+			})
+		}
+		Convey("sent to another instance than its unreachable home is unknown", func() {
+			f := newEngineFixture()
+			home := NewOrders(f.engine, noPeers{}, Home{"n", 1}, "a", func(Fact) {})
+			other := NewOrders(f.engine, noPeers{}, Home{"m", 1}, "b", func(Fact) {})
+			request := Request{ID: "r", Collection: "c", Kind: "order", Key: "k", Arrived: f.engine.Clock.Now()}
+			answer := other.Run(context.Background(), home.Mint(), request)
+			So(answer.Outcome, ShouldEqual, OutcomeUnknown)
+			So(answer.Reason, ShouldEqual, ReasonHomeLost)
+			So(f.client.sent, ShouldBeEmpty)
+		})
+	})
+}
--- /dev/null
+++ b/io/peer/peer_test.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"acaciavane/core"
+	"acaciavane/io/peer/peerpb"
+)
+
+// fakeHandler records what peers ask of it.
+type fakeHandler struct {
+	received core.Exchange
+	reply    core.Exchange
+	ticket   core.Ticket
+	request  core.Request
+	book     core.BookCopy
+	answer   core.Answer
+	leaving  bool
+}
+
+func (f *fakeHandler) Receive(message core.Exchange) core.Exchange {
+	f.received = message
+	return f.reply
+}
+
+func (f *fakeHandler) RunForwarded(_ context.Context, ticket core.Ticket, request core.Request) core.Answer {
+	f.ticket, f.request = ticket, request
+	return f.answer
+}
+
+func (f *fakeHandler) Mint() core.Ticket        { return f.ticket }
+func (f *fakeHandler) Adopt(book core.BookCopy) { f.book = book }
+func (f *fakeHandler) Leaving() bool            { return f.leaving }
+
+type fixture struct {
+	handler  *fakeHandler
+	counters *core.Counters
+	server   *Server
+	client   *Client
+	address  string
+}
+
+func newFixture() *fixture {
+	f := &fixture{handler: &fakeHandler{}, counters: core.NewCounters()}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	f.address = listener.Addr().String()
+	f.server = NewServer(core.NewClock(), f.handler, f.counters, logr.Discard())
+	go func() { _ = f.server.Serve(listener) }()
+	f.client = New(core.NewClock(), f.counters, &net.Dialer{})
+	return f
+}
+
+func (f *fixture) close() {
+	f.client.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	f.server.Stop(ctx)
+}
+
+func TestPeers(t *testing.T) {
+	info := core.PeerInfo{Name: "n", Zone: "z", Address: "127.0.0.1:1", Incarnation: 3}
+	exchange := core.Exchange{
+		From: info, ConfigurationVersion: 4, ConfigurationDigest: "d", Configuration: []byte("c"),
+		ListRevision: 5, InstanceList: []byte("l"), PlatformAge: 6, Sequence: 7, SeenIncarnation: 8, SeenSequence: 9,
+		Facts: []core.Fact{{Kind: core.FactVerdict, Subject: "f", Stamp: 2, Verdict: core.VerdictSuspect, Crashes: 1, Address: "a", Age: 3}},
+	}
+	ticket := core.Ticket{Home: core.Home{Instance: "n", Incarnation: 3}, Address: "127.0.0.1:1", Expires: 4, Nonce: [16]byte{5}, Proof: [32]byte{6}}
+	Convey("Given two instances", t, func() {
+		f := newFixture()
+		defer f.close()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		Convey("an exchange arrives whole in both directions", func() {
+			f.handler.reply = exchange
+			reply, err := f.client.Exchange(ctx, f.address, exchange)
+			So(err, ShouldBeNil)
+			So(f.handler.received, ShouldResemble, exchange)
+			So(reply, ShouldResemble, exchange)
+			So(f.counters.Get(core.CountPeerBytes), ShouldBeGreaterThan, 0)
+		})
+		Convey("an exchange from nobody is refused and counted", func() {
+			_, err := f.client.Exchange(ctx, f.address, core.Exchange{})
+			So(err, ShouldNotBeNil)
+			So(f.counters.Get(core.CountPeerGarbage), ShouldEqual, 1)
+		})
+		Convey("an order arrives with its ticket and its time left", func() {
+			f.handler.answer = core.Answer{Outcome: core.OutcomeAnswered, Result: "booked", Sufficient: true, Attempts: 1, Shards: 1}
+			request := core.Request{ID: "r", Collection: "c", Kind: "k", Key: "key", Body: "b", Deadline: core.NewClock().Now() + core.Second}
+			answer, err := f.client.ForwardOrder(ctx, f.address, ticket, request)
+			So(err, ShouldBeNil)
+			So(answer, ShouldResemble, f.handler.answer)
+			So(f.handler.ticket, ShouldResemble, ticket)
+			So(f.handler.request.Fingerprint(), ShouldEqual, request.Fingerprint())
+			So(f.handler.request.Deadline-request.Deadline, ShouldBeBetween, -core.Second, core.Second)
+		})
+		Convey("an answer with an unknown outcome is no answer", func() {
+			_, err := f.client.ForwardOrder(ctx, f.address, ticket, core.Request{ID: "r"})
+			So(errors.Is(err, core.ErrPeerUnreachable), ShouldBeTrue)
+		})
+		Convey("a ticket is minted, but not by an instance that is leaving", func() {
+			f.handler.ticket = ticket
+			minted, err := f.client.MintTicket(ctx, f.address)
+			So(err, ShouldBeNil)
+			So(minted, ShouldResemble, ticket)
+			f.handler.leaving = true
+			_, err = f.client.MintTicket(ctx, f.address)
+			So(err, ShouldNotBeNil)
+		})
+		Convey("a book is taken over whole, but not by an instance that is leaving", func() {
+			book := core.BookCopy{Home: ticket.Home, Secret: []byte("s"), Runs: []core.RunCopy{{
+				Nonce: [16]byte{1}, Fingerprint: "f", Expires: 2, Answer: core.Unknown("", core.ReasonTimeout, "d"),
+			}}}
+			So(f.client.TakeOver(ctx, f.address, book), ShouldBeNil)
+			So(f.handler.book, ShouldResemble, book)
+			f.handler.leaving = true
+			err := f.client.TakeOver(ctx, f.address, book)
+			So(err, ShouldNotBeNil)
+			So(errors.Is(err, core.ErrPeerUnreachable), ShouldBeFalse)
+		})
+		Convey("garbage on the port is closed and counted", func() {
+			for _, text := range []string{"GET / HTTP/1.1\r\n\r\n", "\x00\x01\x02", "PRI * HTTP/1.0\r\n\r\n"} {
+				connection, err := net.Dial("tcp", f.address)
+				So(err, ShouldBeNil)
+				_, _ = io.WriteString(connection, text)
+				_ = connection.SetReadDeadline(time.Now().Add(5 * time.Second))
+				_, _ = io.Copy(io.Discard, connection)
+				_ = connection.Close()
+			}
+			So(f.counters.Get(core.CountPeerGarbage), ShouldEqual, 3)
+			f.handler.reply = exchange
+			_, err := f.client.Exchange(ctx, f.address, exchange)
+			So(err, ShouldBeNil)
+		})
+	})
+	Convey("A peer that is gone is unreachable", t, func() {
+		f := newFixture()
+		f.close()
+		client := New(core.NewClock(), f.counters, &net.Dialer{})
+		defer client.Close()
+		_, err := client.ForwardOrder(context.Background(), f.address, ticket, core.Request{})
+		So(errors.Is(err, core.ErrPeerUnreachable), ShouldBeTrue)
+	})
+}
+
+func TestMalformedMessages(t *testing.T) {
+	Convey("A message is malformed when", t, func() {
+		_, err := fromTicket(&peerpb.Ticket{Nonce: []byte{1}})
+		So(errors.Is(err, ErrMalformed), ShouldBeTrue)
+		_, err = fromBook(&peerpb.Book{})
+		So(errors.Is(err, ErrMalformed), ShouldBeTrue)
+		_, _, err = fromOrder(&peerpb.OrderRequest{}, 0)
+		So(errors.Is(err, ErrMalformed), ShouldBeTrue)
+	})
+}
--- /dev/null
+++ b/io/platform/platform_test.go
@@ -0,0 +1,131 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"acaciavane/core"
+)
+
+const sound = `{
+ "version": 3, "deployment": "d", "maxInstances": 4,
+ "services": [{"name": "s", "slots": 2, "connections": 25,
+  "upstreams": [{"name": "u", "address": "127.0.0.1:8000", "zone": "z"}]}],
+ "collections": [{"name": "c",
+  "snapshots": [{"id": 1, "partitions": [{"start": 0, "end": 4294967296, "service": "s"}]}],
+  "kinds": [{"name": "k", "mode": "search", "timeoutMillis": 100, "closeAfterMillis": 50, "leastCoverage": 0.9, "priority": 1}]}]
+}`
+
+func TestConfigurationDocuments(t *testing.T) {
+	cases := []struct {
+		name, old, new string
+		// want are the file and line, the field, and what is allowed.
+		want []string
+	}{
+		{"an unknown field", `"slots": 2`, `"slots": 2, "speed": 9`, []string{"f.json:3", "services[0].speed", "unknown field", "slots"}},
+		{"a wrong unit", `"timeoutMillis": 100`, `"timeoutMillis": "100ms"`, []string{"f.json:7", "kinds[0].timeoutMillis", `"100ms"`, "whole number"}},
+		{"a missing service", `"service": "s"`, `"service": "t"`, []string{"f.json:6", "partitions[0].service", `"t"`, "no service of this name"}},
+		{"an impossible limit", `"slots": 2`, `"slots": 0`, []string{"f.json:3", "services[0].slots", "value 0", "from 1"}},
+		{"fewer connections than instances", `"connections": 25`, `"connections": 3`, []string{"services[0].connections", "value 3", "at least maxInstances (4)"}},
+		{"a host name", `127.0.0.1:8000`, `localhost:8000`, []string{"upstreams[0].address", "IP number"}},
+		{"a gap between partitions", `"start": 0`, `"start": 9`, []string{"partitions[0].start", "must be 0"}},
+		{"partitions that end early", `4294967296`, `4294967295`, []string{"partitions", "must end at 4294967296"}},
+		{"an early close after the deadline", `"closeAfterMillis": 50`, `"closeAfterMillis": 500`, []string{"closeAfterMillis", "at most timeoutMillis"}},
+		{"an unknown mode", `"search"`, `"seek"`, []string{"kinds[0].mode", `"seek"`, "search, fetch, order"}},
+		{"a field that stands twice", `"slots": 2`, `"slots": 2, "slots": 2`, []string{"services[0].slots", "twice"}},
+		{"a missing field", `"deployment": "d",`, ``, []string{"deployment", "must be a string"}},
+		{"broken JSON", `"version": 3,`, `"version": 3`, []string{"f.json:2", "document"}},
+		{"two documents", "}]}]\n}", "}]}]\n} {}", []string{"f.json", "more than one value"}},
+	}
+	Convey("A sound document is read whole", t, func() {
+		c, err := NewDecoder().ConfigurationFile("f.json", []byte(sound))
+		So(err, ShouldBeNil)
+		So(c.Version, ShouldEqual, 3)
+		So(c.Share(c.Services[0]), ShouldEqual, 6)
+		So(c.Collections[0].Kinds[0], ShouldResemble, core.Kind{
+			Name: "k", Mode: core.ModeSearch, Timeout: 100, CloseAfter: 50, LeastCoverage: 0.9, Priority: 1,
+		})
+	})
+	Convey("A document is refused, with file, line, field, value and what is allowed, for", t, func() {
+		for _, tc := range cases {
+			Convey(tc.name, func() {
+				So(strings.Contains(sound, tc.old), ShouldBeTrue)
+				_, err := NewDecoder().ConfigurationFile("f.json", []byte(strings.Replace(sound, tc.old, tc.new, 1)))
+				So(errors.Is(err, ErrInvalidDocument), ShouldBeTrue)
+				for _, want := range tc.want {
+					So(err.Error(), ShouldContainSubstring, want)
+				}
+			})
+		}
+	})
+}
+
+func FuzzConfiguration(f *testing.F) {
+	f.Add([]byte(sound))
+	f.Add([]byte(`{"version":`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		c, err := NewDecoder().Configuration(raw)
+		if err == nil && (c.Version == 0 || len(c.Services) == 0) {
+			t.Fatalf("accepted %q", raw)
+		}
+	})
+}
+
+func TestInstanceLists(t *testing.T) {
+	Convey("A list is read, and garbage is refused", t, func() {
+		list, err := NewDecoder().InstanceList([]byte(`{"revision": 4, "instances": [
+		 {"name": "u", "role": "upstream", "zone": "z", "address": "127.0.0.1:1", "incarnation": 5, "state": "leaving"}]}`))
+		So(err, ShouldBeNil)
+		So(list.Members[0].Leaving, ShouldBeTrue)
+		for _, raw := range []string{``, `[]`, `{"revision": 0, "instances": []}`, `{"revision": 1, "instances": [{"name": "u"}]}`} {
+			_, err := NewDecoder().InstanceList([]byte(raw))
+			So(errors.Is(err, ErrInvalidDocument), ShouldBeTrue)
+		}
+	})
+}
+
+func TestReads(t *testing.T) {
+	cases := []struct {
+		name   string
+		handle http.HandlerFunc
+		fails  bool
+		want   core.Published
+	}{
+		{"a value", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Platform-Revision", "9")
+			_, _ = io.WriteString(w, "raw")
+		}, false, core.Published{Raw: []byte("raw"), Revision: 9}},
+		{"no change", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotModified) }, false, core.Published{Revision: 4}},
+		{"an error", func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "down", http.StatusServiceUnavailable) }, true, core.Published{}},
+		{"no revision", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "raw") }, true, core.Published{}},
+		{"too large a value", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Platform-Revision", "9")
+			_, _ = io.WriteString(w, strings.Repeat("x", core.MaxPublishedBytes+1))
+		}, true, core.Published{}},
+		{"a value that is cut off", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Platform-Revision", "9")
+			w.Header().Set("Content-Length", "100")
+			_, _ = io.WriteString(w, "raw")
+		}, true, core.Published{}},
+	}
+	Convey("A read that is answered with", t, func() {
+		for _, tc := range cases {
+			Convey(tc.name, func() {
+				server := httptest.NewServer(tc.handle)
+				defer server.Close()
+				client := New(strings.TrimPrefix(server.URL, "http://"), &net.Dialer{})
+				got, err := client.Read(context.Background(), core.KeyConfiguration, 4, 0)
+				So(errors.Is(err, core.ErrPlatformUnavailable), ShouldEqual, tc.fails)
+				So(got, ShouldResemble, tc.want)
+			})
+		}
+	})
+}
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -79,8 +79,6 @@
 	err      error
 }
 
-func (s sent) latency() time.Duration { return s.answered.Sub(s.started) }
-
 func ask(entry *lab.Entry, request caller.RequestBody) sent {
 	client := entry.Client()
 	defer client.Close()
--- /dev/null
+++ b/standin/examples/main.go
@@ -0,0 +1,51 @@
+// Command examples writes the example configurations and settings of both
+// deployments, at their full sizes, into the folder examples.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"acaciavane/standin/lab"
+)
+
+const filePermissions = 0o644
+
+func main() {
+	for _, deployment := range []lab.Deployment{lab.HuronBay(), lab.Bokveld()} {
+		if err := write(deployment); err != nil {
+			fmt.Fprintln(os.Stderr, "examples:", err)
+			os.Exit(1)
+		}
+	}
+}
+
+func write(deployment lab.Deployment) error {
+	folder := filepath.Join("examples", deployment.Name)
+	if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	configuration := deployment.Configuration("127.0.0.1", 1, 1)
+	if err := os.WriteFile(filepath.Join(folder, "configuration.json"), configuration.JSON(), filePermissions); err != nil {
+		return err
+	}
+	zone := deployment.Zones[0]
+	settings := lab.SettingsFile{
+		Instance:        zone + "-1",
+		Zone:            zone,
+		CallerAddress:   "127.0.0.1:7000",
+		PeerAddress:     "127.0.0.1:7100",
+		OperatorAddress: "127.0.0.1:7200",
+		PlatformAddress: "127.0.0.1:7900",
+		Peers:           []string{"127.0.0.1:7101", "127.0.0.1:7102"},
+		DrainMillis:     3000,
+		LogLevel:        "info",
+	}
+	raw, err := json.MarshalIndent(settings, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(folder, zone+"-1.json"), append(raw, '\n'), filePermissions)
+}
--- /dev/null
+++ b/standin/lab/deployment_test.go
@@ -0,0 +1,18 @@
+package lab
+
+import (
+	"os"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestExamplesAreWhatTheDeploymentsSay(t *testing.T) {
+	Convey("The committed examples are up to date", t, func() {
+		for _, deployment := range []Deployment{HuronBay(), Bokveld()} {
+			raw, err := os.ReadFile("../../examples/" + deployment.Name + "/configuration.json")
+			So(err, ShouldBeNil)
+			So(string(raw), ShouldEqual, string(deployment.Configuration("127.0.0.1", 1, 1).JSON()))
+		}
+	})
+}
