--- /dev/null
+++ b/standin/bench/main.go
@@ -0,0 +1,126 @@
+// Command bench measures tail latency, coverage and extra load of both
+// deployments against the stand-ins: the whole policy beside a plain fan-out and
+// beside the policy with single parts switched off.
+package main
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"strings"
+	"time"
+
+	"acaciavane/standin/lab"
+)
+
+// variant is a policy to measure.
+type variant struct {
+	name   string
+	policy *lab.PolicyFile
+}
+
+var variants = []variant{
+	{"plain", &lab.PolicyFile{NoHedge: true, NoEarlyClose: true, RandomReplica: true, NoGate: true}},
+	{"whole", nil},
+	{"noHedge", &lab.PolicyFile{NoHedge: true}},
+	{"noEarlyClose", &lab.PolicyFile{NoEarlyClose: true}},
+	{"randomReplica", &lab.PolicyFile{RandomReplica: true}},
+	{"noGate", &lab.PolicyFile{NoGate: true}},
+}
+
+// options are the options of the command.
+type options struct {
+	runs       int
+	seed       uint64
+	seconds    float64
+	deployment string
+	variants   string
+	scenarios  string
+	output     string
+	median     time.Duration
+}
+
+func main() {
+	var o options
+	flag.IntVar(&o.runs, "runs", 5, "runs of each variant")
+	flag.Uint64Var(&o.seed, "seed", 1, "seed of the first run; the others follow")
+	flag.Float64Var(&o.seconds, "seconds", 3, "measured seconds of each scenario")
+	flag.StringVar(&o.deployment, "deployments", "huron-bay,bokveld", "deployments to run")
+	flag.StringVar(&o.variants, "variants", "plain,whole", "variants to run")
+	flag.StringVar(&o.scenarios, "scenarios", "", "scenarios to run; all if empty")
+	flag.StringVar(&o.output, "output", "", "file for the raw figures as JSON")
+	flag.DurationVar(&o.median, "median", 10*time.Millisecond, "median service time of the upstreams")
+	flag.Parse()
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
+
+// report is the file of raw figures.
+type report struct {
+	Machine string   `json:"machine"`
+	Commit  string   `json:"commit"`
+	Seed    uint64   `json:"seed"`
+	Runs    int      `json:"runs"`
+	Seconds float64  `json:"secondsEach"`
+	Median  string   `json:"medianServiceTime"`
+	Results []result `json:"results"`
+}
+
+func run(o options) error {
+	folder, err := os.MkdirTemp("", "acaciavane-bench-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	binaries, err := lab.Build(".", folder)
+	if err != nil {
+		return err
+	}
+	r := report{
+		Machine: fmt.Sprintf("%d processors, %s", runtime.NumCPU(), runtime.Version()),
+		Commit:  commit(), Seed: o.seed, Runs: o.runs, Seconds: o.seconds, Median: o.median.String(),
+	}
+	for _, deployment := range []lab.Deployment{lab.HuronBay(), lab.Bokveld()} {
+		if !listed(o.deployment, deployment.Name) {
+			continue
+		}
+		for i := range o.runs {
+			for _, v := range variants {
+				if !listed(o.variants, v.name) {
+					continue
+				}
+				b := bench{options: o, deployment: deployment, variant: v, binaries: binaries, folder: folder, run: i}
+				results, err := b.measure()
+				if err != nil {
+					return err
+				}
+				r.Results = append(r.Results, results...)
+			}
+		}
+	}
+	printTables(os.Stdout, r)
+	if o.output == "" {
+		return nil
+	}
+	raw, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(o.output, append(raw, '\n'), 0o644)
+}
+
+func listed(list, name string) bool {
+	if list == "" {
+		return true
+	}
+	for entry := range strings.SplitSeq(list, ",") {
+		if entry == name {
+			return true
+		}
+	}
+	return false
+}
