Limit queries in flight by latency, explore slow replicas beside requests

Cause: an unused slow replica was tried again with real requests every few seconds, and the limit on queries fell only once upstreams shed.

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -37,6 +37,7 @@
 	peers        *core.Peers
 	publications *core.Publications
 	engine       *core.Engine
+	gates        *core.GateSet
 	orders       *core.Orders
 	peerClient   *peer.Client
 	leaving      atomic.Bool
@@ -104,6 +105,7 @@
 		Counters: i.counters,
 		Log:      i.log,
 	})
+	i.gates = core.NewGateSet(i.clock, core.Priorities)
 	i.engine = core.NewEngine(core.EngineParts{
 		Instance:    i.self.Name,
 		Clock:       i.clock,
@@ -114,7 +116,7 @@
 		Budget:      i.budget,
 		Pause:       i.pause,
 		Counters:    i.counters,
-		Gates:       core.NewGateSet(core.Priorities),
+		Gates:       i.gates,
 		Policy:      i.settings.Policy,
 		NewID:       uuid.NewString,
 		NotifyPeers: i.peers.Tell,
@@ -268,6 +270,7 @@
 		Verdicts:         i.quarantine.State(),
 		RememberedOrders: i.orders.Remembered(),
 		ExtraLoadTokens:  i.budget.Tokens(),
+		Gates:            i.gates.State(),
 		Counters:         i.counters,
 	}
 }
--- a/core/constants.go
+++ b/core/constants.go
@@ -64,6 +64,27 @@
 	// QueuedPerSlot is how many queries may be in flight for each request that
 	// the narrowest service takes from this instance.
 	QueuedPerSlot = 3
+	// GateLatencyFactor is how much longer than without load answers may take
+	// before the limit on requests in flight is lowered.
+	GateLatencyFactor = 2.0
+	// CongestedLatencyFactor is how much longer than without load answers may
+	// take before no more hedges are sent.
+	CongestedLatencyFactor = 1.5
+	// GateLeast is the least limit on requests in flight.
+	GateLeast = 2.0
+	// GateDecrease multiplies the limit when it is lowered.
+	GateDecrease = 0.9
+	// GateIncrease is what the limit gains over as many answers as it allows in
+	// flight, while answers take hardly longer than without load.
+	GateIncrease = 0.5
+	// GateLatencyWeight is the weight of one answer in the recent latency.
+	GateLatencyWeight = 0.1
+	// GateCalmDrift is the factor by which the latency without load rises with
+	// each answer, unless answers are faster.
+	GateCalmDrift = 1.0001
+	// ExploreIntervalMillis is how long a replica goes unused before an extra
+	// attempt finds out how fast it is now.
+	ExploreIntervalMillis = 5 * Second
 	// Priorities is the number of priority levels of request kinds.
 	Priorities = 3
 	// ShardsPerHedge is how many shards of a query allow one hedge.
@@ -83,11 +104,8 @@
 	HedgeMinMillis = 2 * Millis(1)
 	// LatencyWindow is how many latencies a service keeps for its quantiles.
 	LatencyWindow = 512
-	// LatencyDecayMillis is the time in which the latency of an unused replica
-	// is halved, so that it is tried again.
-	LatencyDecayMillis = 2 * Second
 	// LocalBias multiplies the score of replicas in the instance's own zone.
-	LocalBias = 0.75
+	LocalBias = 0.9
 	// SlowStartMillis is how long a fresh replica gets less than its share.
 	SlowStartMillis = 2 * Second
 	// SlowStartFactor multiplies the score of a replica at its start.
--- a/core/engine.go
+++ b/core/engine.go
@@ -1,8 +1,10 @@
 package core
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 )
 
@@ -147,7 +149,7 @@
 	if answer, ok := refused.Get(); ok {
 		return answer
 	}
-	exit, ok := e.enterGates(admitted)
+	exit, ok := e.enterGates(ctx, admitted)
 	if !ok {
 		e.Counters.Add(CountOverloaded, 1)
 		return Refuse(request.ID, ReasonOverloaded, "too many requests in flight for this priority")
@@ -179,23 +181,25 @@
 
 // enterGates admits the request at the instance's gate and at the gate of its
 // collection. The returned function must be called at its end.
-func (e *Engine) enterGates(admitted admission) (func(congested bool), bool) {
+func (e *Engine) enterGates(ctx context.Context, admitted admission) (func(congested bool), bool) {
 	if e.Policy.NoGate {
 		return func(bool) {}, true
 	}
 	priority := admitted.kind.Priority
 	instance := e.Gates.Instance()
-	if !instance.Enter(priority, MaxInFlight) {
+	started := e.Clock.Now()
+	if !instance.Enter(ctx, priority, MaxInFlight) {
 		return nil, false
 	}
 	gate := e.Gates.Collection(admitted.collection.Name)
-	if !gate.Enter(priority, e.collectionRoom(admitted.collection)) {
-		instance.Leave(false)
+	if !gate.Enter(ctx, priority, e.collectionRoom(admitted.collection)) {
+		instance.Leave(e.Clock.Since(started), false)
 		return nil, false
 	}
+	admittedAt := e.Clock.Now()
 	return func(congested bool) {
-		instance.Leave(false)
-		gate.Leave(congested)
+		instance.Leave(e.Clock.Since(started), false)
+		gate.Leave(e.Clock.Since(admittedAt), congested)
 	}, true
 }
 
@@ -215,6 +219,7 @@
 
 // GateSet holds the gate of the instance and one for each collection.
 type GateSet struct {
+	clock      Clock
 	mu         sync.Mutex
 	priorities int
 	instance   *Gate
@@ -222,10 +227,11 @@
 }
 
 // NewGateSet returns gates for the given number of priorities.
-func NewGateSet(priorities int) *GateSet {
+func NewGateSet(clock Clock, priorities int) *GateSet {
 	return &GateSet{
+		clock:      clock,
 		priorities: priorities,
-		instance:   NewGate(MaxInFlight, priorities),
+		instance:   NewFixedGate(clock, MaxInFlight, priorities),
 		gates:      map[string]*Gate{},
 	}
 }
@@ -235,13 +241,27 @@
 	return s.instance
 }
 
+// State returns the gates of all collections, by name.
+func (s *GateSet) State() []GateState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	states := make([]GateState, 0, len(s.gates))
+	for name, gate := range s.gates {
+		state := gate.State()
+		state.Name = name
+		states = append(states, state)
+	}
+	slices.SortFunc(states, func(a, b GateState) int { return cmp.Compare(a.Name, b.Name) })
+	return states
+}
+
 // Collection returns the gate of a collection.
 func (s *GateSet) Collection(name string) *Gate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	gate, ok := s.gates[name]
 	if !ok {
-		gate = NewGate(MaxInFlight, s.priorities)
+		gate = NewGate(s.clock, MaxInFlight, s.priorities)
 		s.gates[name] = gate
 	}
 	return gate
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -315,16 +315,13 @@
 	if !best.hasRoom(want.Exclusive) {
 		return nil
 	}
-	best.inFlight++
-	best.exclusive = want.Exclusive
-	return &Permit{
-		fleet:       f,
-		replica:     best,
-		target:      best.target(),
-		incarnation: best.incarnation,
-		since:       now,
-		want:        want,
-	}
+	return f.grantPermit(best, want, now)
+}
+
+func (f *Fleet) grantPermit(r *replica, want Want, now Millis) *Permit {
+	r.inFlight++
+	r.exclusive = want.Exclusive
+	return &Permit{fleet: f, replica: r, target: r.target(), since: now, want: want}
 }
 
 func (f *Fleet) expected(s *service, r *replica, want Want, now Millis) float64 {
@@ -354,6 +351,24 @@
 	return Some(max(HedgeMinMillis, delay+1))
 }
 
+// Explore returns a permit for a replica of the service that has not been used
+// for a while, or nil when there is none. What is known of its latency is old.
+func (f *Fleet) Explore(want Want) *Permit {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s, ok := f.services[want.Service]
+	if !ok || len(s.waiters) > 0 {
+		return nil
+	}
+	now := f.clock.Now()
+	for _, r := range f.eligible(s, want) {
+		if now-r.usedAt > ExploreIntervalMillis && !r.down && !r.ejected(now) && r.hasRoom(false) {
+			return f.grantPermit(r, want, now)
+		}
+	}
+	return nil
+}
+
 // Room returns how many requests the instance may have in flight at the service.
 func (f *Fleet) Room(name string) int {
 	f.mu.Lock()
--- a/core/orders.go
+++ b/core/orders.go
@@ -197,7 +197,7 @@
 	if answer, ok := refused.Get(); ok {
 		return answer
 	}
-	exit, ok := e.enterGates(admitted)
+	exit, ok := e.enterGates(ctx, admitted)
 	if !ok {
 		e.Counters.Add(CountOverloaded, 1)
 		return Refuse(request.ID, ReasonOverloaded, "too many requests in flight for this priority")
--- a/core/permit.go
+++ b/core/permit.go
@@ -2,13 +2,12 @@
 
 // Permit allows one request to one upstream.
 type Permit struct {
-	fleet       *Fleet
-	replica     *replica
-	target      Target
-	incarnation uint64
-	since       Millis
-	want        Want
-	released    bool
+	fleet    *Fleet
+	replica  *replica
+	target   Target
+	since    Millis
+	want     Want
+	released bool
 }
 
 // Target returns the upstream that the permit is for.
--- a/core/query.go
+++ b/core/query.go
@@ -218,6 +218,9 @@
 	if q.engine.Policy.NoHedge || q.isolation.restricted() {
 		return false
 	}
+	if q.engine.Gates.Collection(q.admitted.collection.Name).Congested() {
+		return false
+	}
 	most := int64(max(1, shards/ShardsPerHedge))
 	if q.hedges.Add(1) > most {
 		q.hedges.Add(-1)
--- a/core/replica.go
+++ b/core/replica.go
@@ -144,11 +144,7 @@
 
 // score estimates the time that a request would take here; less is better.
 func (r *replica) score(zone string, now Millis) float64 {
-	latency := max(r.latency, 1)
-	if idle := now - r.usedAt; idle > 0 {
-		latency = max(1, latency*math.Exp2(-float64(idle)/float64(LatencyDecayMillis)))
-	}
-	score := latency * float64(r.inFlight+1)
+	score := max(r.latency, 1) * float64(r.inFlight+1)
 	if r.upstream.Zone == zone {
 		score *= LocalBias
 	}
@@ -161,9 +157,9 @@
 
 // succeed records the latency of a reply.
 func (r *replica) succeed(latency, now Millis) {
-	const weight = 0.2
-	if r.latency == 0 {
-		r.latency = float64(latency)
+	weight := 0.2
+	if r.latency == 0 || now-r.usedAt > ExploreIntervalMillis {
+		weight = 1
 	}
 	r.latency += weight * (float64(latency) - r.latency)
 	r.usedAt = now
--- a/core/shard.go
+++ b/core/shard.go
@@ -114,6 +114,11 @@
 	go func() { results <- s.send(ctx, permit, ranges, false) }()
 	hedge := s.hedgeTimer(ctx)
 	running := 1
+	if explorer := s.explore(ctx, permit); explorer != nil {
+		running++
+		go func() { results <- s.send(ctx, explorer, ranges, true) }()
+		hedge = nil
+	}
 	for {
 		select {
 		case result := <-results:
@@ -158,11 +163,7 @@
 	if !s.query.mayHedge(len(s.plan.Parts)) {
 		return nil
 	}
-	exclude := NewSet(first.Target().Name)
-	for name := range s.exclude {
-		exclude.Add(name)
-	}
-	second, err := s.acquire(ctx, Want{Exclude: exclude, NoWait: true})
+	second, err := s.acquire(ctx, Want{Exclude: s.excluding(first), NoWait: true})
 	if err != nil {
 		s.query.engine.Budget.Refund()
 		return nil
@@ -171,6 +172,30 @@
 	return second
 }
 
+// explore returns a permit for a second attempt at a replica that has not been
+// used for a while, so that a slow one is found to have recovered without any
+// request waiting for it.
+func (s *shard) explore(ctx context.Context, first *Permit) *Permit {
+	want := s.want(Want{Exclude: s.excluding(first)})
+	permit := s.query.engine.Fleet.Explore(want)
+	if permit == nil {
+		return nil
+	}
+	if !s.query.mayHedge(len(s.plan.Parts)) || s.query.engine.Pause.Await(ctx) != nil || !permit.Sendable() {
+		permit.Release()
+		return nil
+	}
+	return permit
+}
+
+func (s *shard) excluding(first *Permit) Set[string] {
+	exclude := NewSet(first.Target().Name)
+	for name := range s.exclude {
+		exclude.Add(name)
+	}
+	return exclude
+}
+
 // isolated sends one attempt while no other isolated attempt of the query runs,
 // to an upstream that runs nothing else for this instance.
 func (s *shard) isolated(ctx context.Context, ranges []KeyRange) (attemptResult, error) {
@@ -199,6 +224,11 @@
 // acquire waits for a replica of the shard that serves the snapshot and may be
 // given new work at this moment.
 func (s *shard) acquire(ctx context.Context, want Want) (*Permit, error) {
+	return s.query.engine.acquireSendable(ctx, s.want(want))
+}
+
+// want fills in which replicas can serve the shard.
+func (s *shard) want(want Want) Want {
 	want.Service = s.part.Service
 	want.Collection = s.query.admitted.collection.Name
 	want.Snapshot = s.plan.Snapshot.ID
@@ -206,7 +236,7 @@
 	if want.Exclude == nil {
 		want.Exclude = s.exclude
 	}
-	return s.query.engine.acquireSendable(ctx, want)
+	return want
 }
 
 // acquireSendable returns a permit for an upstream that may be given new work
--- a/io/operator/state.go
+++ b/io/operator/state.go
@@ -21,6 +21,7 @@
 	Verdicts         []core.VerdictState
 	RememberedOrders int
 	ExtraLoadTokens  float64
+	Gates            []core.GateState
 	Counters         *core.Counters
 }
 
@@ -45,6 +46,7 @@
 	Peers             []PeerBody        `json:"peers"`
 	Upstreams         []UpstreamBody    `json:"upstreams"`
 	Verdicts          []VerdictBody     `json:"verdicts"`
+	Gates             []GateBody        `json:"gates"`
 	Counters          map[string]int64  `json:"counters"`
 }
 
@@ -105,6 +107,16 @@
 	EjectedForMillis int64               `json:"ejectedForMillis"`
 }
 
+// GateBody is the limit on the requests in flight of one collection.
+type GateBody struct {
+	Collection   string  `json:"collection"`
+	InFlight     int     `json:"inFlight"`
+	Waiting      int     `json:"waiting"`
+	Limit        float64 `json:"limit"`
+	RecentMillis float64 `json:"recentLatencyMillis"`
+	CalmMillis   float64 `json:"calmLatencyMillis"`
+}
+
 // VerdictBody is the verdict on a request that may crash upstreams.
 type VerdictBody struct {
 	Fingerprint string `json:"fingerprint"`
@@ -133,6 +145,7 @@
 		Peers:             make([]PeerBody, 0, len(state.Peers)),
 		Upstreams:         make([]UpstreamBody, 0, len(state.Upstreams)),
 		Verdicts:          make([]VerdictBody, 0, len(state.Verdicts)),
+		Gates:             make([]GateBody, 0, len(state.Gates)),
 		Counters:          map[string]int64{},
 	}
 	for _, peer := range state.Peers {
@@ -148,6 +161,16 @@
 			AgoMillis:   int64(state.Now - verdict.At),
 		})
 	}
+	for _, gate := range state.Gates {
+		body.Gates = append(body.Gates, GateBody{
+			Collection:   gate.Name,
+			InFlight:     gate.InFlight,
+			Waiting:      gate.Waiting,
+			Limit:        gate.Limit,
+			RecentMillis: gate.RecentMillis,
+			CalmMillis:   gate.CalmMillis,
+		})
+	}
 	for _, counter := range state.Counters.All() {
 		body.Counters[counter.String()] = state.Counters.Get(counter)
 	}
