Measure slow replicas at two loads

At 30% load with one slow replica in each service the other one runs at 60%, and queueing alone puts the 99th percentile of 20 shards near 126 ms (two slots, 20 ms median, log-normal 0.4): 1.5 times calm can't be met there by any choice of replica. The scenario is measured at 20% and at 30%.

--- a/standin/bench/scenario.go
+++ b/standin/bench/scenario.go
@@ -13,9 +13,10 @@
 const (
 	// sigma is the spread of the log-normal service times.
 	sigma = 0.4
-	// calmShare is the load of all scenarios but overload, as a part of what
+	// calmShare and busyShare are the loads without overload, as a part of what
 	// the slots can carry.
-	calmShare     = 0.3
+	calmShare     = 0.2
+	busyShare     = 0.3
 	overloadShare = 1.2
 	settle        = 1500 * time.Millisecond
 	warm          = 2 * time.Second
@@ -57,6 +58,8 @@
 		{name: "calm", load: calmShare, seconds: seconds},
 		{name: "slowOnset", load: calmShare, seconds: seconds, begin: slowReplicas, end: soundReplicas},
 		{name: "slowReplicas", load: calmShare, seconds: seconds, warm: warm, begin: slowReplicas, end: soundReplicas},
+		{name: "slowBusy", load: busyShare, seconds: seconds, warm: warm, begin: slowReplicas, end: soundReplicas},
+		{name: "calmBusy", load: busyShare, seconds: seconds},
 		{name: "lostReplica", load: calmShare, seconds: seconds, during: loseReplica, end: restoreReplica},
 		{name: "overload", load: overloadShare, seconds: seconds, warm: warm},
 		{name: "versions", load: calmShare, seconds: seconds, during: changeVersions, end: restoreVersions},
