--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo bench lint format generate capacity race
+.PHONY: build test race demo bench capacity faults lint format generate
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
 build:
@@ -20,6 +20,9 @@
 capacity:
 	go run ./standin/capacity
 
+faults:
+	go run ./standin/faults
+
 lint:
 	go run $(LINT) run ./...
 
--- a/cli/instance.go
+++ b/cli/instance.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/google/uuid"
@@ -56,7 +55,7 @@
 			Name:        settings.Instance,
 			Zone:        settings.Zone,
 			Address:     settings.PeerAddress,
-			Incarnation: uint64(time.Now().UnixMicro()),
+			Incarnation: clock.NewIncarnation(),
 		},
 	}
 	i.facts = core.NewFactLog(clock)
--- a/core/clock.go
+++ b/core/clock.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -45,6 +46,13 @@
 	return c.read()
 }
 
+// NewIncarnation returns a number that is greater than that of any process that
+// started at least a millisecond earlier.
+func (c Clock) NewIncarnation() uint64 {
+	const perMilli = 1000
+	return uint64(c.read())*perMilli + uint64(rand.IntN(perMilli))
+}
+
 // Since returns the time elapsed since at.
 func (c Clock) Since(at Millis) Millis {
 	return c.read() - at
--- a/core/collector.go
+++ b/core/collector.go
@@ -64,13 +64,6 @@
 	c.records[record.Key] = record
 }
 
-// Remaining returns the positions that were asked and are not covered yet.
-func (c *Collector) Remaining() RangeSet {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.asked.Subtract(c.covered)
-}
-
 // Progress signals after replies were merged.
 func (c *Collector) Progress() <-chan struct{} {
 	return c.progress
--- a/core/constants.go
+++ b/core/constants.go
@@ -37,6 +37,8 @@
 	ProbeTimeoutMillis = 500 * Millis(1)
 	// WatchWaitMillis is how long a watch waits at the platform for a change.
 	WatchWaitMillis = 10 * Second
+	// WatchPauseMillis is the pause between two watches of one value.
+	WatchPauseMillis = 100 * Millis(1)
 	// PlatformRetryMinMillis is the first pause after a failed platform read.
 	PlatformRetryMinMillis = 500 * Millis(1)
 	// PlatformRetryMaxMillis is the longest pause after failed platform reads.
@@ -102,6 +104,8 @@
 	HedgeQuantile = 0.95
 	// HedgeMinMillis is the earliest hedge.
 	HedgeMinMillis = 2 * Millis(1)
+	// LatencyWeight is the weight of one reply in the latency of a replica.
+	LatencyWeight = 0.25
 	// LatencyWindow is how many latencies a service keeps for its quantiles.
 	LatencyWindow = 512
 	// LocalBias multiplies the score of replicas in the instance's own zone.
@@ -143,6 +147,9 @@
 const (
 	// TicketTTLMillis is how long a ticket may be used.
 	TicketTTLMillis = 2 * Minute
+	// OrderPatienceMillis is how long a caller that sets no deadline waits for
+	// the answer to an order that runs elsewhere.
+	OrderPatienceMillis = 1 * Minute
 	// MaxTicketRuns bounds the runs that an instance remembers.
 	MaxTicketRuns = 100_000
 )
--- a/core/orders.go
+++ b/core/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 )
 
@@ -28,13 +29,25 @@
 
 	mu      sync.Mutex
 	own     *TicketBook
-	adopted map[Home]*TicketBook
-	moved   map[Home]string
+	adopted map[Home]adoptedBook
+	moved   map[Home]movedBook
 	// handedOver is closed when this instance has given its tickets away, or
 	// has failed to.
 	handedOver chan struct{}
 }
 
+// adoptedBook is the book of a stopped instance that this one took over.
+type adoptedBook struct {
+	book  *TicketBook
+	since Millis
+}
+
+// movedBook says where the tickets of a stopped instance are now.
+type movedBook struct {
+	address string
+	since   Millis
+}
+
 // NewOrders returns the orders of a process that has just started as home.
 func NewOrders(engine *Engine, peers OrderPeers, home Home, address string, notify func(Fact)) *Orders {
 	return &Orders{
@@ -43,8 +56,8 @@
 		address:    address,
 		notify:     notify,
 		own:        NewTicketBook(engine.Clock, home, address),
-		adopted:    map[Home]*TicketBook{},
-		moved:      map[Home]string{},
+		adopted:    map[Home]adoptedBook{},
+		moved:      map[Home]movedBook{},
 		handedOver: make(chan struct{}),
 	}
 }
@@ -90,11 +103,7 @@
 // knows whether this or an earlier sending of it ran.
 func (o *Orders) forward(ctx context.Context, ticket Ticket, request Request) Answer {
 	o.engine.Counters.Add(CountOrdersForwarded, 1)
-	deadline := request.Deadline
-	if deadline == 0 {
-		deadline = request.Arrived + Minute
-	}
-	ctx, cancel := o.engine.Clock.WithDeadline(ctx, deadline)
+	ctx, cancel := o.engine.Clock.WithDeadline(ctx, waitUntil(request))
 	defer cancel()
 	address := o.homeAddress(ticket)
 	if address == o.address {
@@ -107,6 +116,14 @@
 	return answer
 }
 
+// waitUntil returns when a caller of an order is answered at the latest.
+func waitUntil(request Request) Millis {
+	if request.Deadline != 0 {
+		return request.Deadline
+	}
+	return request.Arrived + OrderPatienceMillis
+}
+
 func homeLost(request Request) Answer {
 	return Unknown(request.ID, ReasonHomeLost,
 		"the instance that minted the ticket gives no answer; the order is not run again")
@@ -125,8 +142,8 @@
 func (o *Orders) homeAddress(ticket Ticket) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if address, ok := o.moved[ticket.Home]; ok {
-		return address
+	if moved, ok := o.moved[ticket.Home]; ok {
+		return moved.address
 	}
 	return ticket.Address
 }
@@ -137,7 +154,14 @@
 	if home == o.own.Home() {
 		return o.own
 	}
-	return o.adopted[home]
+	return o.adopted[home].book
+}
+
+// expire forgets the books whose tickets have all expired.
+func (o *Orders) expire() {
+	oldest := o.engine.Clock.Now() - TicketTTLMillis
+	maps.DeleteFunc(o.adopted, func(_ Home, a adoptedBook) bool { return a.since < oldest })
+	maps.DeleteFunc(o.moved, func(_ Home, m movedBook) bool { return m.since < oldest })
 }
 
 func (o *Orders) runHere(ctx context.Context, ticket Ticket, request Request) Answer {
@@ -175,11 +199,7 @@
 }
 
 func (o *Orders) join(ctx context.Context, run *TicketRunState, request Request) Answer {
-	deadline := request.Deadline
-	if deadline == 0 {
-		deadline = request.Arrived + Minute
-	}
-	ctx, cancel := o.engine.Clock.WithDeadline(ctx, deadline)
+	ctx, cancel := o.engine.Clock.WithDeadline(ctx, waitUntil(request))
 	defer cancel()
 	select {
 	case <-run.Done():
@@ -346,8 +366,8 @@
 func (o *Orders) sealAll() []BookCopy {
 	o.mu.Lock()
 	open := []*TicketBook{o.own}
-	for _, book := range o.adopted {
-		open = append(open, book)
+	for _, adopted := range o.adopted {
+		open = append(open, adopted.book)
 	}
 	o.mu.Unlock()
 	copies := make([]BookCopy, len(open))
@@ -384,7 +404,11 @@
 		o.mu.Unlock()
 		return
 	}
-	o.adopted[book.Home] = OpenBookCopy(o.engine.Clock, book)
+	o.expire()
+	o.adopted[book.Home] = adoptedBook{
+		book:  OpenBookCopy(o.engine.Clock, book),
+		since: o.engine.Clock.Now(),
+	}
 	o.mu.Unlock()
 	o.notify(o.movedFact(book.Home, o.address))
 }
@@ -410,7 +434,8 @@
 func (o *Orders) setMoved(home Home, address string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.moved[home] = address
+	o.expire()
+	o.moved[home] = movedBook{address: address, since: o.engine.Clock.Now()}
 }
 
 // Remembered returns how many runs are remembered, adopted ones included.
@@ -418,8 +443,8 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	runs := o.own.Runs()
-	for _, book := range o.adopted {
-		runs += book.Runs()
+	for _, adopted := range o.adopted {
+		runs += adopted.book.Runs()
 	}
 	return runs
 }
--- a/core/publications.go
+++ b/core/publications.go
@@ -91,6 +91,7 @@
 		}
 		pause = PlatformRetryMinMillis
 		revision = published.Revision
+		_ = p.Clock.Sleep(ctx, jitter(WatchPauseMillis))
 	}
 }
 
--- a/core/replica.go
+++ b/core/replica.go
@@ -69,8 +69,8 @@
 		r.heardAt = now
 		r.down = false
 		r.probeFailures = 0
+		r.load = status.Load
 	}
-	r.load = status.Load
 	if status.Snapshots != nil {
 		r.snapshots = status.Snapshots
 	}
@@ -157,7 +157,7 @@
 
 // succeed records the latency of a reply.
 func (r *replica) succeed(latency, now Millis) {
-	weight := 0.2
+	weight := LatencyWeight
 	if r.latency == 0 || now-r.usedAt > ExploreIntervalMillis {
 		weight = 1
 	}
@@ -170,8 +170,11 @@
 
 // slow records that an attempt was still without a reply after waited.
 func (r *replica) slow(waited, now Millis) {
-	if float64(waited) > r.latency {
+	switch {
+	case r.latency == 0:
 		r.latency = float64(waited)
+	case float64(waited) > r.latency:
+		r.latency += LatencyWeight * (float64(waited) - r.latency)
 	}
 	r.usedAt = now
 }
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -203,3 +203,40 @@
 		So(server.connections.Load(), ShouldEqual, 3)
 	})
 }
+
+// BenchmarkSearch measures one sub-request over a connection, with the server's
+// side in the same process.
+func BenchmarkSearch(b *testing.B) {
+	server := serve(func(w http.ResponseWriter, request SearchRequest) {
+		_ = json.NewEncoder(w).Encode(answer(request))
+	})
+	defer server.Close()
+	clock := core.NewClock()
+	client := New(clock, &net.Dialer{})
+	target := server.target(1)
+	a := attempt(clock)
+	a.Deadline += core.Minute
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := client.Search(context.Background(), target, a); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkDecodeReply measures the codec alone: what a sub-request still costs
+// when many share one message.
+func BenchmarkDecodeReply(b *testing.B) {
+	raw, err := json.Marshal(answer(SearchRequest{QueryID: "q", AttemptID: "a", Ranges: []Range{{0, 100}}}))
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		var reply SearchReply
+		if err := json.Unmarshal(raw, &reply); err != nil {
+			b.Fatal(err)
+		}
+		_ = fromStatus(reply.Status)
+	}
+}
--- a/standin/bench/main.go
+++ b/standin/bench/main.go
@@ -15,19 +15,22 @@
 	"acaciavane/standin/lab"
 )
 
-// variant is a policy to measure.
+// variant is a program and a policy to measure.
 type variant struct {
 	name   string
 	policy *lab.PolicyFile
+	// previous runs the program of the earlier revision.
+	previous bool
 }
 
 var variants = []variant{
-	{"plain", &lab.PolicyFile{NoHedge: true, NoEarlyClose: true, RandomReplica: true, NoGate: true}},
-	{"whole", nil},
-	{"noHedge", &lab.PolicyFile{NoHedge: true}},
-	{"noEarlyClose", &lab.PolicyFile{NoEarlyClose: true}},
-	{"randomReplica", &lab.PolicyFile{RandomReplica: true}},
-	{"noGate", &lab.PolicyFile{NoGate: true}},
+	{name: "plain", policy: &lab.PolicyFile{NoHedge: true, NoEarlyClose: true, RandomReplica: true, NoGate: true}},
+	{name: "previous", previous: true},
+	{name: "whole"},
+	{name: "noHedge", policy: &lab.PolicyFile{NoHedge: true}},
+	{name: "noEarlyClose", policy: &lab.PolicyFile{NoEarlyClose: true}},
+	{name: "randomReplica", policy: &lab.PolicyFile{RandomReplica: true}},
+	{name: "noGate", policy: &lab.PolicyFile{NoGate: true}},
 }
 
 // options are the options of the command.
@@ -39,6 +42,7 @@
 	variants   string
 	scenarios  string
 	output     string
+	previous   string
 	median     time.Duration
 }
 
@@ -48,8 +52,9 @@
 	flag.Uint64Var(&o.seed, "seed", 1, "seed of the first run; the others follow")
 	flag.Float64Var(&o.seconds, "seconds", 3, "measured seconds of each scenario")
 	flag.StringVar(&o.deployment, "deployments", "huron-bay,bokveld", "deployments to run")
-	flag.StringVar(&o.variants, "variants", "plain,whole", "variants to run")
+	flag.StringVar(&o.variants, "variants", "plain,previous,whole", "variants to run")
 	flag.StringVar(&o.scenarios, "scenarios", "", "scenarios to run; all if empty")
+	flag.StringVar(&o.previous, "previous", "", "earlier revision to measure beside this one, as the variant previous")
 	flag.StringVar(&o.output, "output", "", "file for the raw figures as JSON")
 	flag.DurationVar(&o.median, "median", 20*time.Millisecond, "median service time of the upstreams")
 	flag.Parse()
@@ -63,6 +68,8 @@
 type report struct {
 	Machine string   `json:"machine"`
 	Commit  string   `json:"commit"`
+	// Previous is the revision of the variant previous.
+	Previous string `json:"previous,omitempty"`
 	Seed    uint64   `json:"seed"`
 	Runs    int      `json:"runs"`
 	Seconds float64  `json:"secondsEach"`
@@ -80,9 +87,16 @@
 	if err != nil {
 		return err
 	}
+	earlier := binaries
+	if o.previous != "" {
+		if earlier, err = lab.BuildRevision(o.previous, folder); err != nil {
+			return err
+		}
+		earlier.Standin = binaries.Standin
+	}
 	r := report{
 		Machine: fmt.Sprintf("%d processors, %s", runtime.NumCPU(), runtime.Version()),
-		Commit:  commit(), Seed: o.seed, Runs: o.runs, Seconds: o.seconds, Median: o.median.String(),
+		Commit:  commit(), Previous: o.previous, Seed: o.seed, Runs: o.runs, Seconds: o.seconds, Median: o.median.String(),
 	}
 	for _, deployment := range []lab.Deployment{lab.HuronBay(), lab.Bokveld()} {
 		if !listed(o.deployment, deployment.Name) {
@@ -90,10 +104,13 @@
 		}
 		for i := range o.runs {
 			for _, v := range variants {
-				if !listed(o.variants, v.name) {
+				if !listed(o.variants, v.name) || v.previous && o.previous == "" {
 					continue
 				}
 				b := bench{options: o, deployment: deployment, variant: v, binaries: binaries, folder: folder, run: i}
+				if v.previous {
+					b.binaries = earlier
+				}
 				results, err := b.measure()
 				if err != nil {
 					return err
--- /dev/null
+++ b/standin/faults/main.go
@@ -0,0 +1,111 @@
+// Command faults shows that the proofs can fail: it puts one fault after the
+// other into a copy of the code and runs the test that must notice it.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+func main() {
+	var only string
+	flag.StringVar(&only, "only", "", "name of the one fault to try")
+	flag.Parse()
+	if err := run(only); err != nil {
+		fmt.Fprintln(os.Stderr, "faults:", err)
+		os.Exit(1)
+	}
+}
+
+func run(only string) error {
+	missed := 0
+	for _, f := range faults {
+		if only != "" && only != f.name {
+			continue
+		}
+		started := time.Now()
+		noticed, err := f.try()
+		if err != nil {
+			return fmt.Errorf("%s: %w", f.name, err)
+		}
+		verdict := "noticed"
+		if !noticed {
+			verdict = "MISSED"
+			missed++
+		}
+		fmt.Printf("%-8s %-28s by %s %s (%.0f s)\n", verdict, f.name, f.pkg, f.test, time.Since(started).Seconds())
+	}
+	if missed > 0 {
+		return fmt.Errorf("%d faults were not noticed", missed)
+	}
+	return nil
+}
+
+// try runs the test against the faulty copy and reports whether it failed.
+func (f fault) try() (bool, error) {
+	folder, err := os.MkdirTemp("", "acaciavane-fault-")
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	if err := copyTree(folder); err != nil {
+		return false, err
+	}
+	if err := f.apply(folder); err != nil {
+		return false, err
+	}
+	build := exec.Command("go", "vet", "./core", "./cli", "./io/...")
+	build.Dir = folder
+	if out, err := build.CombinedOutput(); err != nil {
+		return false, fmt.Errorf("the faulty code does not build: %w: %s", err, out)
+	}
+	test := exec.Command("go", "test", "-count=1", "-run", f.test, f.pkg)
+	test.Dir = folder
+	out, err := test.CombinedOutput()
+	return err != nil && strings.Contains(string(out), "--- FAIL"), nil
+}
+
+func (f fault) apply(folder string) error {
+	file := filepath.Join(folder, f.file)
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	if strings.Count(string(raw), f.old) != 1 {
+		return fmt.Errorf("%s: the text to replace does not stand there once", f.file)
+	}
+	const filePermissions = 0o644
+	return os.WriteFile(file, []byte(strings.Replace(string(raw), f.old, f.new, 1)), filePermissions)
+}
+
+// copyTree copies all tracked and new files of the module.
+func copyTree(folder string) error {
+	list, err := exec.Command("git", "ls-files", "-co", "--exclude-standard").Output()
+	if err != nil {
+		return err
+	}
+	const folderPermissions, filePermissions = 0o755, 0o644
+	for name := range strings.Lines(string(list)) {
+		name = strings.TrimSpace(name)
+		raw, err := os.ReadFile(name)
+		if os.IsNotExist(err) {
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		target := filepath.Join(folder, name)
+		if err := os.MkdirAll(filepath.Dir(target), folderPermissions); err != nil {
+			return err
+		}
+		if err := os.WriteFile(target, raw, filePermissions); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/standin/lab/process.go
+++ b/standin/lab/process.go
@@ -1,6 +1,7 @@
 package lab
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -33,6 +34,27 @@
 	return binaries, nil
 }
 
+// BuildRevision builds the programs of an earlier revision of this repository.
+func BuildRevision(revision, folder string) (Binaries, error) {
+	source := filepath.Join(folder, "revision-"+revision)
+	output := filepath.Join(folder, "previous")
+	for _, created := range []string{source, output} {
+		if err := os.MkdirAll(created, 0o755); err != nil {
+			return Binaries{}, err
+		}
+	}
+	archive, err := exec.Command("git", "archive", "--format=tar", revision).Output()
+	if err != nil {
+		return Binaries{}, fmt.Errorf("archive revision %s: %w", revision, err)
+	}
+	extract := exec.Command("tar", "-x", "-C", source)
+	extract.Stdin = bytes.NewReader(archive)
+	if out, err := extract.CombinedOutput(); err != nil {
+		return Binaries{}, fmt.Errorf("extract revision %s: %w: %s", revision, err, out)
+	}
+	return Build(source, output)
+}
+
 // Process is a process that the cluster started.
 type Process struct {
 	name    string
