--- a/cli/instance.go
+++ b/cli/instance.go
@@ -16,7 +16,7 @@
 	"acaciavane/io/upstream"
 )
 
-const dialTimeout = 1 * time.Second
+const dialTimeout = core.Second
 
 // instance is one entry instance: the decisions and their adapters, wired up.
 type instance struct {
@@ -70,7 +70,7 @@
 
 // newDialer returns a dialer that connects from the given IP number, if any.
 func newDialer(source string) *net.Dialer {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dialer := &net.Dialer{Timeout: dialTimeout.Duration()}
 	if source != "" {
 		dialer.LocalAddr = &net.TCPAddr{IP: net.ParseIP(source)}
 	}
--- a/standin/bench/main.go
+++ b/standin/bench/main.go
@@ -66,15 +66,15 @@
 
 // report is the file of raw figures.
 type report struct {
-	Machine string   `json:"machine"`
-	Commit  string   `json:"commit"`
+	Machine string `json:"machine"`
+	Commit  string `json:"commit"`
 	// Previous is the revision of the variant previous.
-	Previous string `json:"previous,omitempty"`
-	Seed    uint64   `json:"seed"`
-	Runs    int      `json:"runs"`
-	Seconds float64  `json:"secondsEach"`
-	Median  string   `json:"medianServiceTime"`
-	Results []result `json:"results"`
+	Previous string   `json:"previous,omitempty"`
+	Seed     uint64   `json:"seed"`
+	Runs     int      `json:"runs"`
+	Seconds  float64  `json:"secondsEach"`
+	Median   string   `json:"medianServiceTime"`
+	Results  []result `json:"results"`
 }
 
 func run(o options) error {
