Estimate the latency of attempts that were cut short

Cause: with one slow replica in each service, about 1% of the queries waited for a slow one that was the only choice made for a shard. Its latency was known only from attempts that a hedge had cut short, so it was taken for half as slow as it is. A late or cancelled attempt now counts with twice the time it had waited, at a weight of a quarter, so that one late reply does not condemn a sound replica.

Ruled out: the budget (tokens left), explored replicas (they run beside another attempt), sheds (limits untouched).

--- a/core/constants.go
+++ b/core/constants.go
@@ -106,6 +106,9 @@
 	HedgeMinMillis = 2 * Millis(1)
 	// LatencyWeight is the weight of one reply in the latency of a replica.
 	LatencyWeight = 0.25
+	// LateFactor is what the time that an attempt has waited without a reply is
+	// multiplied by to estimate its latency.
+	LateFactor = 2.0
 	// LatencyWindow is how many latencies a service keeps for its quantiles.
 	LatencyWindow = 512
 	// LocalBias multiplies the score of replicas in the instance's own zone.
--- a/core/replica.go
+++ b/core/replica.go
@@ -170,11 +170,12 @@
 
 // slow records that an attempt was still without a reply after waited.
 func (r *replica) slow(waited, now Millis) {
+	least := LateFactor * float64(waited)
 	switch {
 	case r.latency == 0:
-		r.latency = float64(waited)
-	case float64(waited) > r.latency:
-		r.latency += LatencyWeight * (float64(waited) - r.latency)
+		r.latency = least
+	case least > r.latency:
+		r.latency += LatencyWeight * (least - r.latency)
 	}
 	r.usedAt = now
 }
