Let instances with more than 12 peers become ready

Cause: readiness waited for every known peer to be asked, but beyond 12 only the linked ones are. Found by the capacity measurement, which could not start 24 instances. Ruled out: the seeds (six answer). Now the linked peers count; test: TestPeersAtTheStart. Profiles are served at the operators' address.

--- a/core/peers.go
+++ b/core/peers.go
@@ -423,12 +423,12 @@
 	return 1
 }
 
-// AllTried reports whether every known peer has been asked at least once.
+// AllTried reports whether every linked peer has been asked at least once.
 func (p *Peers) AllTried() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, peer := range p.peers {
-		if !peer.tried {
+	for _, address := range p.links() {
+		if !p.peers[address].tried {
 			return false
 		}
 	}
--- /dev/null
+++ b/core/peers_test.go
@@ -0,0 +1,97 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+)
+
+// fakePeers answers exchanges as instances that have configuration 7 in force.
+type fakePeers struct {
+	mu    sync.Mutex
+	asked Set[string]
+	down  Set[string]
+}
+
+func (f *fakePeers) Exchange(_ context.Context, address string, _ Exchange) (Exchange, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.asked.Add(address)
+	if f.down.Has(address) {
+		return Exchange{}, ErrPeerUnreachable
+	}
+	return Exchange{
+		From:                 PeerInfo{Name: address, Zone: "z", Address: address, Incarnation: 1},
+		ConfigurationVersion: 7, ConfigurationDigest: "d", Configuration: []byte("7 d"),
+		Facts: []Fact{NewLeavingFact("u0", 3)}, Sequence: 1,
+	}, nil
+}
+
+func (f *fakePeers) Forget(string)    {}
+func (f *fakePeers) Reachable(string) {}
+
+func newPeers(client *fakePeers, count int, applied func(Fact)) (*Peers, *Store) {
+	clock := NewClock()
+	store := newTestStore()
+	var seeds []string
+	for i := range count {
+		seeds = append(seeds, fmt.Sprintf("127.0.0.1:%d", 7000+i))
+	}
+	return NewPeers(PeersParts{
+		Self:  PeerInfo{Name: "self", Zone: "z", Address: "127.0.0.1:6999", Incarnation: 1},
+		Seeds: seeds, Clock: clock, Client: client, Store: store,
+		Facts: NewFactLog(clock), Counters: NewCounters(), Apply: applied,
+	}), store
+}
+
+func TestPeersAtTheStart(t *testing.T) {
+	cases := []struct {
+		name  string
+		count int
+		down  int
+		asked int
+	}{
+		{"of no others", 0, 0, 0},
+		{"of a few others", 5, 0, 5},
+		{"of a few others of which some are down", 5, 3, 5},
+		{"of more others than it links", 60, 0, 6},
+	}
+	Convey("An instance", t, func() {
+		for _, tc := range cases {
+			Convey(tc.name, func() {
+				client := &fakePeers{asked: NewSet[string](), down: NewSet[string]()}
+				var mu sync.Mutex
+				applied := 0
+				peers, store := newPeers(client, tc.count, func(Fact) { mu.Lock(); defer mu.Unlock(); applied++ })
+				for i := range tc.down {
+					client.down.Add(fmt.Sprintf("127.0.0.1:%d", 7000+i))
+				}
+				So(peers.AllTried(), ShouldEqual, tc.count == 0)
+				ctx, cancel := context.WithCancel(context.Background())
+				ended := make(chan error)
+				go func() { ended <- peers.Run(ctx) }()
+				for start := time.Now(); !peers.AllTried() && time.Since(start) < 5*time.Second; {
+					time.Sleep(time.Millisecond)
+				}
+				So(peers.AllTried(), ShouldBeTrue)
+				cancel()
+				So(<-ended, ShouldBeNil)
+				client.mu.Lock()
+				So(len(client.asked), ShouldEqual, tc.asked)
+				client.mu.Unlock()
+				current, some := store.Current()
+				So(some, ShouldEqual, tc.count > 0)
+				if some {
+					So(current.Configuration.Version, ShouldEqual, 7)
+					So(applied, ShouldEqual, 1)
+				}
+			})
+		}
+	})
+	goleak.VerifyNone(t)
+}
--- a/io/operator/server.go
+++ b/io/operator/server.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"strings"
 
 	"github.com/go-logr/logr"
@@ -19,6 +20,7 @@
 	PathState         = "/v1/state"
 	PathConfiguration = "/v1/configuration"
 	PathLogLevel      = "/v1/log-level"
+	PathProfiles      = "/debug/pprof/"
 )
 
 const maxLevelBytes = 64
@@ -45,6 +47,8 @@
 	mux.HandleFunc("GET "+PathState, s.serveState)
 	mux.HandleFunc("GET "+PathConfiguration, s.serveConfiguration)
 	mux.HandleFunc("PUT "+PathLogLevel, s.serveLogLevel)
+	mux.HandleFunc("GET "+PathProfiles, pprof.Index)
+	mux.HandleFunc("GET "+PathProfiles+"profile", pprof.Profile)
 	mux.Handle("GET "+PathMetrics, s.metrics.Handler())
 	return mux
 }
