Ask the first shard of a suspect once; let truncated replies lack records

The shard on which a suspect ran alone was asked again with all others. The stand-in's truncated replies held all records, so a coverage that counted replies went unnoticed by TestAllRepliesSpoiled (make faults showed it).

--- a/core/engine_test.go
+++ b/core/engine_test.go
@@ -212,6 +212,10 @@
 				return covered(attempt), nil
 			}
 			So(f.query("wait").Coverage.Whole(), ShouldBeTrue)
+			So(f.client.sent[0], ShouldStartWith, "s1")
+			for _, name := range f.client.sent[1:] {
+				So(name, ShouldStartWith, "s2")
+			}
 			So(f.quarantine.Verdict(request.Fingerprint()), ShouldEqual, VerdictCleared)
 		})
 		Convey("if not, no other shard is asked, and it is refused from then on", func() {
--- a/core/query.go
+++ b/core/query.go
@@ -103,10 +103,7 @@
 	q.engine.Budget.Earn(len(plan.Parts))
 	go func() {
 		defer close(finished)
-		if !q.isolation.admitFirst(ctx, q, plan, collector) {
-			return
-		}
-		for _, part := range plan.Parts {
+		for _, part := range q.isolation.admit(ctx, q, plan, collector) {
 			tasks.Go(func() error {
 				s := shard{query: q, plan: plan, part: part, collector: collector}
 				if errors.Is(s.run(ctx), errSnapshotDropped) && q.canDoBetter(plan) {
@@ -312,13 +309,17 @@
 	}
 }
 
-// admitFirst runs a request that was a suspect before on one shard alone, and
-// reports whether the others may be asked too.
-func (i *isolation) admitFirst(ctx context.Context, q *query, plan Plan, collector *Collector) bool {
+// admit returns the parts of the plan that may be asked at once. A request that
+// was a suspect before runs on one shard alone first; the others follow only if
+// it survives there.
+func (i *isolation) admit(ctx context.Context, q *query, plan Plan, collector *Collector) []PlanPart {
 	if !i.restricted() || len(plan.Parts) == 0 {
-		return true
+		return plan.Parts
 	}
 	first := shard{query: q, plan: plan, part: plan.Parts[0], collector: collector}
 	_ = first.run(ctx)
-	return !i.restricted()
+	if i.restricted() {
+		return nil
+	}
+	return plan.Parts[1:]
 }
--- a/standin/faults.go
+++ b/standin/faults.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
+	"acaciavane/core"
 	"acaciavane/io/upstream"
 )
 
@@ -77,6 +79,11 @@
 	first := reply.Covered[0]
 	first.End = first.Start + (first.End-first.Start)/2
 	reply.Covered = []upstream.Range{first}
+	kept := core.KeyRange{Start: first.Start, End: first.End}
+	reply.Records = slices.DeleteFunc(slices.Clone(reply.Records), func(r upstream.Record) bool {
+		return !kept.Contains(core.Position(r.Key))
+	})
+	reply.RecordCount = len(reply.Records)
 }
 
 // cutOff sends half of a reply and breaks the connection.
