Make two proofs strict enough to notice their faults

make faults showed that a store which takes any older configuration, and a stop without a drain, went unnoticed: the first went back and forth between polls, the second met too few requests. The one now watches every instance and counts what was put in force, the other sends 200 requests a second instead of 60.

--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -37,6 +37,24 @@
 	return time.Since(started)
 }
 
+// neverBelow watches the instances for a while: none may go back behind the
+// version, nor put more configurations in force than there are versions.
+func neverBelow(t *testing.T, cluster *lab.Cluster, least uint64, watched time.Duration) {
+	t.Helper()
+	for started := time.Now(); time.Since(started) < watched; time.Sleep(20 * time.Millisecond) {
+		for _, entry := range cluster.Entries {
+			state, err := cluster.State(entry)
+			must(t, err)
+			if state.Configuration.Version < least {
+				t.Fatalf("%s went back to version %d", entry.Name, state.Configuration.Version)
+			}
+			if accepted := state.Counters["configurationsAccepted"]; accepted > int64(least) {
+				t.Fatalf("%s put %d configurations in force, there are %d", entry.Name, accepted, least)
+			}
+		}
+	}
+}
+
 func version(cluster *lab.Cluster, number uint64) lab.ConfigurationFile {
 	next := cluster.Configuration
 	next.Version = number
@@ -63,7 +81,7 @@
 		cluster.Entries[0].Process().Kill()
 		must(t, cluster.StartEntry(cluster.Entries[0]))
 		must(t, cluster.WaitReady(cluster.Entries[0]))
-		waitVersion(t, cluster, 2, cluster.Entries...)
+		neverBelow(t, cluster, 2, 2*time.Second)
 		must(t, cluster.Platform("up"))
 	})
 	t.Run("a cold start with the platform down asks the peers before it is ready", func(t *testing.T) {
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -1,6 +1,7 @@
 package proof
 
 import (
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -61,10 +62,10 @@
 
 // TestRollingRestartOfInstances stops and replaces every instance in turn under load.
 func TestRollingRestartOfInstances(t *testing.T) {
-	cluster := startCluster(t, lab.Options{Deployment: twoPerZone(), UpstreamsPerProcess: 7, DrainMillis: 1000, UpstreamArguments: []string{"--median", "30ms"}})
+	cluster := startCluster(t, lab.Options{Deployment: twoPerZone(), UpstreamsPerProcess: 7, DrainMillis: 1000, UpstreamArguments: []string{"--median", "10ms"}})
 	b := startBalancer(cluster)
 	defer b.end()
-	l := startLoad(60, b.pick, find)
+	l := startLoad(200, b.pick, findOrGet)
 	for _, entry := range cluster.Entries {
 		must(t, entry.Process().Stop(10*time.Second))
 		must(t, cluster.StartEntry(entry))
@@ -77,6 +78,15 @@
 	}
 }
 
+// findOrGet asks for all records now and then, and for single ones in between.
+func findOrGet(i int) caller.RequestBody {
+	const getsPerFind = 3
+	if i%(getsPerFind+1) == 0 {
+		return find(i)
+	}
+	return caller.RequestBody{Collection: "items", Kind: "get", Key: fmt.Sprintf("item-%05d", i%recordCount)}
+}
+
 // TestRollingRestartOfUpstreams drains and replaces one upstream of each shard
 // in turn under load, then the other.
 func TestRollingRestartOfUpstreams(t *testing.T) {
