Read the platform less, and pass each configuration on once

Causes: an instance with more than 12 others saw only its linked peers, so more than two in a zone held themselves for readers; and the silence after which any instance reads (4 s) was shorter than a watch waits (10 s), so all read. Readers are now chosen from the instance list as well, a watch waits 5 s and silence counts from 7 s. A peer that had not yet heard of a change was sent the whole configuration by every other; it now asks one at a time.

Ruled out: the exchanges (their number did not change).

--- a/core/constants.go
+++ b/core/constants.go
@@ -36,7 +36,7 @@
 	// ProbeTimeoutMillis bounds one status probe.
 	ProbeTimeoutMillis = 500 * Millis(1)
 	// WatchWaitMillis is how long a watch waits at the platform for a change.
-	WatchWaitMillis = 10 * Second
+	WatchWaitMillis = 5 * Second
 	// WatchPauseMillis is the pause between two watches of one value.
 	WatchPauseMillis = 100 * Millis(1)
 	// PlatformRetryMinMillis is the first pause after a failed platform read.
@@ -44,8 +44,9 @@
 	// PlatformRetryMaxMillis is the longest pause after failed platform reads.
 	PlatformRetryMaxMillis = 4 * Second
 	// PlatformSilenceMillis is how long an instance that is not a reader waits
-	// for news of the platform before it reads by itself.
-	PlatformSilenceMillis = 4 * Second
+	// for news of the platform before it reads by itself. It is longer than a
+	// watch waits.
+	PlatformSilenceMillis = 7 * Second
 	// ReadersPerZone is how many instances of a zone watch the platform.
 	ReadersPerZone = 2
 	// PauseThresholdMillis is the gap on the clock from which the process
--- a/core/peers.go
+++ b/core/peers.go
@@ -23,10 +23,13 @@
 type Exchange struct {
 	From PeerInfo
 	// ConfigurationVersion and ConfigurationDigest name the sender's
-	// configuration in force; Configuration is set when the receiver lacks it.
+	// configuration in force; Configuration is set when the receiver lacks it
+	// and has asked for it.
 	ConfigurationVersion uint64
 	ConfigurationDigest  string
 	Configuration        []byte
+	// Wants asks for a newer configuration. An instance asks one peer at a time.
+	Wants bool
 	// ListRevision names the sender's instance list; InstanceList is set when
 	// the receiver lacks it.
 	ListRevision uint64
@@ -74,6 +77,9 @@
 	leaving bool
 	peers   map[string]*peerState
 	tasks   map[string]peerTask
+	// fetching is until when a configuration that a peer was asked for is
+	// awaited.
+	fetching Millis
 }
 
 // peerState is what is known of one peer.
@@ -88,6 +94,7 @@
 	seen          uint64
 	version       uint64
 	digest        string
+	wants         bool
 	listRevision  uint64
 	lastError     string
 	failuresInRow int
@@ -132,10 +139,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, task := range p.tasks {
-		select {
-		case task.kick <- struct{}{}:
-		default:
-		}
+		task.wake()
+	}
+}
+
+func (p *Peers) kick(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if task, ok := p.tasks[address]; ok {
+		task.wake()
+	}
+}
+
+// wake ends the task's pause.
+func (t peerTask) wake() {
+	select {
+	case t.kick <- struct{}{}:
+	default:
 	}
 }
 
@@ -263,9 +283,33 @@
 		return err
 	}
 	p.absorb(address, reply)
+	if p.behind(address) {
+		p.kick(address)
+	}
 	return nil
 }
 
+// behind reports whether one of the two lacks a configuration that the other
+// has and one has asked for it, or may do so now.
+func (p *Peers) behind(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer, ok := p.peers[address]
+	if !ok {
+		return false
+	}
+	inForce, _ := p.Store.Current()
+	if inForce.Configuration.Newer(peer.known()) {
+		return peer.wants
+	}
+	return peer.known().Newer(inForce.Configuration) && p.Clock.Now() >= p.fetching
+}
+
+// known returns the configuration that the peer has in force.
+func (s *peerState) known() Configuration {
+	return Configuration{Version: s.version, Digest: s.digest}
+}
+
 func (p *Peers) noteFailure(address string, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -299,11 +343,11 @@
 	if inForce, ok := p.Store.Current(); ok {
 		message.ConfigurationVersion = inForce.Configuration.Version
 		message.ConfigurationDigest = inForce.Configuration.Digest
-		known := Configuration{Version: peer.version, Digest: peer.digest}
-		if peer.info.Incarnation != 0 && inForce.Configuration.Newer(known) {
+		if peer.wants && inForce.Configuration.Newer(peer.known()) {
 			message.Configuration = inForce.Configuration.Raw
 		}
 	}
+	message.Wants = p.mayFetch(peer)
 	list := p.Store.List()
 	message.ListRevision = list.Revision
 	if peer.info.Incarnation != 0 && list.Revision > peer.listRevision {
@@ -313,6 +357,18 @@
 	return message
 }
 
+// mayFetch reports whether the peer is asked for its configuration: it is newer,
+// and none that another peer was asked for is awaited.
+func (p *Peers) mayFetch(peer *peerState) bool {
+	now := p.Clock.Now()
+	inForce, _ := p.Store.Current()
+	if now < p.fetching || !peer.known().Newer(inForce.Configuration) {
+		return false
+	}
+	p.fetching = now + ExchangeTimeoutMillis
+	return true
+}
+
 // Receive takes in a peer's message and returns the reply to it.
 func (p *Peers) Receive(message Exchange) Exchange {
 	address := message.From.Address
@@ -345,6 +401,7 @@
 	p.mu.Unlock()
 	p.Store.HeardPlatform(message.PlatformAge)
 	if len(message.Configuration) > 0 {
+		p.fetched()
 		_, _ = p.Store.OfferConfiguration(message.Configuration, "peer "+message.From.Name)
 	}
 	if len(message.InstanceList) > 0 {
@@ -357,6 +414,13 @@
 	}
 }
 
+// fetched ends the wait for a configuration.
+func (p *Peers) fetched() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fetching = 0
+}
+
 func (s *peerState) update(message Exchange, self uint64, now Millis) {
 	if message.From.Incarnation != s.info.Incarnation {
 		s.acked, s.seen = 0, 0
@@ -368,6 +432,7 @@
 	s.failuresInRow = 0
 	s.version = message.ConfigurationVersion
 	s.digest = message.ConfigurationDigest
+	s.wants = message.Wants
 	s.listRevision = message.ListRevision
 	s.seen = max(s.seen, message.Sequence)
 	if message.SeenIncarnation == self {
@@ -423,7 +488,8 @@
 	return 1
 }
 
-// AllTried reports whether every linked peer has been asked at least once.
+// AllTried reports whether every linked peer has been asked at least once, and
+// no newer configuration of one is awaited.
 func (p *Peers) AllTried() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -432,7 +498,7 @@
 			return false
 		}
 	}
-	return true
+	return p.Clock.Now() >= p.fetching
 }
 
 // Leave makes the instance tell its peers that it is leaving.
@@ -449,14 +515,41 @@
 	rank := func(name string) uint64 { return xxhash.Sum64String("reader/" + name) }
 	self := rank(p.Self.Name)
 	before := 0
-	for _, peer := range p.Alive() {
-		if peer.Zone == p.Self.Zone && !peer.Leaving && rank(peer.Name) < self {
+	for name := range p.zoneMates() {
+		if rank(name) < self {
 			before++
 		}
 	}
 	return before < ReadersPerZone
 }
 
+// zoneMates returns the names of the other instances in the zone that are not
+// leaving: those heard from, and those listed that are not known to be silent.
+func (p *Peers) zoneMates() Set[string] {
+	mates := NewSet[string]()
+	for _, m := range p.Store.List().Members {
+		if m.Role == RoleEntry && m.Zone == p.Self.Zone && !m.Leaving && !p.silent(m.Address) {
+			mates.Add(m.Name)
+		}
+	}
+	for _, peer := range p.Alive() {
+		if peer.Zone == p.Self.Zone && !peer.Leaving {
+			mates.Add(peer.Name)
+		}
+	}
+	delete(mates, p.Self.Name)
+	return mates
+}
+
+// silent reports whether a linked peer has been asked and not been heard of late.
+func (p *Peers) silent(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, linked := p.tasks[address]
+	peer, known := p.peers[address]
+	return linked && known && peer.tried && p.Clock.Since(peer.heardAt) > PeerAliveMillis
+}
+
 // PeerStatus is the view of one peer, for the state dump.
 type PeerStatus struct {
 	Info                 PeerInfo
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -22,6 +22,7 @@
 		Sequence:             message.Sequence,
 		SeenIncarnation:      message.SeenIncarnation,
 		SeenSequence:         message.SeenSequence,
+		Wants:                message.Wants,
 	}
 	for _, fact := range message.Facts {
 		wire.Facts = append(wire.Facts, toFact(fact))
@@ -41,6 +42,7 @@
 		Sequence:             wire.GetSequence(),
 		SeenIncarnation:      wire.GetSeenIncarnation(),
 		SeenSequence:         wire.GetSeenSequence(),
+		Wants:                wire.GetWants(),
 	}
 	if message.From.Name == "" || message.From.Address == "" || message.From.Incarnation == 0 {
 		return core.Exchange{}, ErrMalformed
