Split the peers by what they do, and write down the measurements

A configuration that is refused here is not fetched again at once: two instances of different versions would have asked each other without a pause. Found while reading.

--- a/core/engine.go
+++ b/core/engine.go
@@ -149,10 +149,9 @@
 	if answer, ok := refused.Get(); ok {
 		return answer
 	}
-	exit, ok := e.enterGates(ctx, admitted)
-	if !ok {
-		e.Counters.Add(CountOverloaded, 1)
-		return Refuse(request.ID, ReasonOverloaded, "too many requests in flight for this priority")
+	exit, refused := e.enterGates(ctx, request, admitted)
+	if answer, ok := refused.Get(); ok {
+		return answer
 	}
 	q := newQuery(e, request, admitted)
 	answer := q.run(ctx)
@@ -180,11 +179,21 @@
 }
 
 // enterGates admits the request at the instance's gate and at the gate of its
-// collection. The returned function must be called at its end.
-func (e *Engine) enterGates(ctx context.Context, admitted admission) (func(congested bool), bool) {
+// collection, or returns the answer that refuses it. The returned function must
+// be called at the request's end.
+func (e *Engine) enterGates(ctx context.Context, request Request, admitted admission) (func(congested bool), Option[Answer]) {
 	if e.Policy.NoGate {
-		return func(bool) {}, true
+		return func(bool) {}, None[Answer]()
 	}
+	exit, ok := e.passGates(ctx, admitted)
+	if !ok {
+		e.Counters.Add(CountOverloaded, 1)
+		return nil, Some(Refuse(request.ID, ReasonOverloaded, "too many requests in flight for this priority"))
+	}
+	return exit, None[Answer]()
+}
+
+func (e *Engine) passGates(ctx context.Context, admitted admission) (func(congested bool), bool) {
 	priority := admitted.kind.Priority
 	instance := e.Gates.Instance()
 	started := e.Clock.Now()
--- /dev/null
+++ b/core/exchange.go
@@ -0,0 +1,215 @@
+package core
+
+import "context"
+
+// PeerInfo is what an instance says of itself.
+type PeerInfo struct {
+	Name        string
+	Zone        string
+	Address     string
+	Incarnation uint64
+	Leaving     bool
+}
+
+// Exchange is what one instance tells another, in a request and in its reply.
+type Exchange struct {
+	From PeerInfo
+	// ConfigurationVersion and ConfigurationDigest name the sender's
+	// configuration in force; Configuration is set when the receiver lacks it
+	// and has asked for it.
+	ConfigurationVersion uint64
+	ConfigurationDigest  string
+	Configuration        []byte
+	// Wants asks for a newer configuration. An instance asks one peer at a time.
+	Wants bool
+	// ListRevision names the sender's instance list; InstanceList is set when
+	// the receiver lacks it.
+	ListRevision uint64
+	InstanceList []byte
+	// PlatformAge is how long ago the sender last had news of the platform.
+	PlatformAge Millis
+	// Facts are new to the receiver; Sequence is the sender's last one.
+	Facts    []Fact
+	Sequence uint64
+	// SeenIncarnation and SeenSequence are how far the sender has taken in the
+	// receiver's facts.
+	SeenIncarnation uint64
+	SeenSequence    uint64
+}
+
+// exchange sends what is new to the peer and takes in what it answers.
+func (p *Peers) exchange(ctx context.Context, address string) error {
+	message, ok := p.message(address)
+	if !ok {
+		return nil
+	}
+	limited, cancel := p.Clock.WithDeadline(ctx, p.Clock.Now()+ExchangeTimeoutMillis)
+	defer cancel()
+	p.Counters.Add(CountPeerExchanges, 1)
+	reply, err := p.Client.Exchange(limited, address, message)
+	if err != nil {
+		p.Counters.Add(CountPeerFailures, 1)
+		p.noteFailure(address, err)
+		return err
+	}
+	p.absorb(address, reply)
+	if p.behind(address) {
+		p.kick(address)
+	}
+	return nil
+}
+
+// behind reports whether one of the two lacks a configuration that the other
+// has and one has asked for it, or may do so now.
+func (p *Peers) behind(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer, ok := p.peers[address]
+	if !ok {
+		return false
+	}
+	inForce, _ := p.Store.Current()
+	if inForce.Configuration.Newer(peer.known()) {
+		return peer.wants
+	}
+	return peer.known().Newer(inForce.Configuration) && p.Clock.Now() >= p.fetching
+}
+
+// known returns the configuration that the peer has in force.
+func (s *peerState) known() Configuration {
+	return Configuration{Version: s.version, Digest: s.digest}
+}
+
+func (p *Peers) noteFailure(address string, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if peer, ok := p.peers[address]; ok {
+		peer.tried = true
+		peer.lastError = err.Error()
+		peer.failuresInRow++
+	}
+}
+
+// message returns what the peer is told now.
+func (p *Peers) message(address string) (Exchange, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer, ok := p.peers[address]
+	if !ok {
+		return Exchange{}, false
+	}
+	return p.compose(peer), true
+}
+
+func (p *Peers) compose(peer *peerState) Exchange {
+	self := p.Self
+	self.Leaving = p.leaving
+	message := Exchange{
+		From:            self,
+		PlatformAge:     p.Store.PlatformAge(),
+		SeenIncarnation: peer.info.Incarnation,
+		SeenSequence:    peer.seen,
+	}
+	if inForce, ok := p.Store.Current(); ok {
+		message.ConfigurationVersion = inForce.Configuration.Version
+		message.ConfigurationDigest = inForce.Configuration.Digest
+		if peer.wants && inForce.Configuration.Newer(peer.known()) {
+			message.Configuration = inForce.Configuration.Raw
+		}
+	}
+	message.Wants = p.mayFetch(peer)
+	list := p.Store.List()
+	message.ListRevision = list.Revision
+	if peer.info.Incarnation != 0 && list.Revision > peer.listRevision {
+		message.InstanceList = list.Raw
+	}
+	message.Facts, message.Sequence = p.Facts.Since(peer.acked)
+	return message
+}
+
+// mayFetch reports whether the peer is asked for its configuration: it is newer,
+// and none that another peer was asked for is awaited.
+func (p *Peers) mayFetch(peer *peerState) bool {
+	now := p.Clock.Now()
+	inForce, _ := p.Store.Current()
+	if now < p.fetching || !peer.known().Newer(inForce.Configuration) {
+		return false
+	}
+	p.fetching = now + ExchangeTimeoutMillis
+	return true
+}
+
+// Receive takes in a peer's message and returns the reply to it.
+func (p *Peers) Receive(message Exchange) Exchange {
+	address := message.From.Address
+	p.mu.Lock()
+	if _, ok := p.peers[address]; !ok && address != p.Self.Address {
+		p.peers[address] = &peerState{address: address}
+	}
+	p.mu.Unlock()
+	if p.failing(address) {
+		p.Client.Reachable(address)
+	}
+	p.absorb(address, message)
+	reply, _ := p.message(address)
+	return reply
+}
+
+// failing reports whether the last exchange with the peer failed.
+func (p *Peers) failing(address string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.peers[address].failures() > 0
+}
+
+// absorb takes in what a peer said.
+func (p *Peers) absorb(address string, message Exchange) {
+	p.mu.Lock()
+	if peer, ok := p.peers[address]; ok {
+		peer.update(message, p.Self.Incarnation, p.Clock.Now())
+	}
+	p.mu.Unlock()
+	p.Store.HeardPlatform(message.PlatformAge)
+	if len(message.Configuration) > 0 {
+		_, err := p.Store.OfferConfiguration(message.Configuration, "peer "+message.From.Name)
+		p.fetched(err)
+	}
+	if len(message.InstanceList) > 0 {
+		_, _ = p.Store.OfferInstanceList(message.InstanceList)
+	}
+	for _, fact := range message.Facts {
+		if p.Facts.Merge(fact) {
+			p.Apply(fact)
+		}
+	}
+}
+
+// fetched ends the wait for a configuration. After one that is refused here, no
+// peer is asked again for a while.
+func (p *Peers) fetched(refused error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fetching = 0
+	if refused != nil {
+		p.fetching = p.Clock.Now() + PeerRetryMaxMillis
+	}
+}
+
+func (s *peerState) update(message Exchange, self uint64, now Millis) {
+	if message.From.Incarnation != s.info.Incarnation {
+		s.acked, s.seen = 0, 0
+	}
+	s.info = message.From
+	s.heardAt = now
+	s.tried = true
+	s.lastError = ""
+	s.failuresInRow = 0
+	s.version = message.ConfigurationVersion
+	s.digest = message.ConfigurationDigest
+	s.wants = message.Wants
+	s.listRevision = message.ListRevision
+	s.seen = max(s.seen, message.Sequence)
+	if message.SeenIncarnation == self {
+		s.acked = max(s.acked, message.SeenSequence)
+	}
+}
--- a/core/orders.go
+++ b/core/orders.go
@@ -217,10 +217,9 @@
 	if answer, ok := refused.Get(); ok {
 		return answer
 	}
-	exit, ok := e.enterGates(ctx, admitted)
-	if !ok {
-		e.Counters.Add(CountOverloaded, 1)
-		return Refuse(request.ID, ReasonOverloaded, "too many requests in flight for this priority")
+	exit, refused := e.enterGates(ctx, request, admitted)
+	if answer, ok := refused.Get(); ok {
+		return answer
 	}
 	ctx, cancel := e.Clock.WithDeadline(ctx, admitted.deadline-MergeMarginMillis)
 	defer cancel()
--- a/core/shard.go
+++ b/core/shard.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"time"
 )
 
 var (
@@ -112,7 +113,7 @@
 	}
 	results := make(chan attemptResult, 2)
 	go func() { results <- s.send(ctx, permit, ranges, false) }()
-	hedge := s.hedgeTimer(ctx)
+	hedge := s.hedgeTimer()
 	running := 1
 	if explorer := s.explore(ctx, permit); explorer != nil {
 		running++
@@ -142,19 +143,14 @@
 	}
 }
 
-// hedgeTimer returns a channel that is closed when a hedge is due.
-func (s *shard) hedgeTimer(ctx context.Context) <-chan struct{} {
+// hedgeTimer returns a channel that signals when a hedge is due, or nil while
+// too little is known of the service.
+func (s *shard) hedgeTimer() <-chan time.Time {
 	delay, known := s.query.engine.Fleet.HedgeDelay(s.part.Service).Get()
 	if !known {
 		return nil
 	}
-	due := make(chan struct{}, 1)
-	go func() {
-		if s.query.engine.Clock.Sleep(ctx, delay) == nil {
-			due <- struct{}{}
-		}
-	}()
-	return due
+	return s.query.engine.Clock.After(delay)
 }
 
 // hedge returns a permit for a second attempt, or nil when there is no budget
--- a/standin/bench/main.go
+++ b/standin/bench/main.go
@@ -8,7 +8,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"runtime"
 	"strings"
 	"time"
 
@@ -95,8 +94,8 @@
 		earlier.Standin = binaries.Standin
 	}
 	r := report{
-		Machine: fmt.Sprintf("%d processors, %s", runtime.NumCPU(), runtime.Version()),
-		Commit:  commit(), Previous: o.previous, Seed: o.seed, Runs: o.runs, Seconds: o.seconds, Median: o.median.String(),
+		Machine: lab.Machine(),
+		Commit:  lab.Commit(), Previous: o.previous, Seed: o.seed, Runs: o.runs, Seconds: o.seconds, Median: o.median.String(),
 	}
 	for _, deployment := range []lab.Deployment{lab.HuronBay(), lab.Bokveld()} {
 		if !listed(o.deployment, deployment.Name) {
--- a/standin/bench/table.go
+++ b/standin/bench/table.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"os/exec"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -68,12 +67,3 @@
 	}
 	_ = table.Flush()
 }
-
-// commit returns the commit that is measured.
-func commit() string {
-	out, err := exec.Command("git", "rev-parse", "--short", "HEAD").Output()
-	if err != nil {
-		return "unknown"
-	}
-	return strings.TrimSpace(string(out))
-}
--- a/standin/capacity/main.go
+++ b/standin/capacity/main.go
@@ -7,9 +7,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/exec"
-	"runtime"
-	"strings"
 	"time"
 
 	"acaciavane/standin/lab"
@@ -79,8 +76,8 @@
 		return err
 	}
 	r := report{
-		Machine: fmt.Sprintf("%d processors, %s", runtime.NumCPU(), runtime.Version()),
-		Commit:  commit(),
+		Machine: lab.Machine(),
+		Commit:  lab.Commit(),
 		Window:  window.String(),
 	}
 	for _, m := range measurements() {
@@ -114,11 +111,3 @@
 		fmt.Printf("  %s: %.4g a unit, %.4g at zero\n", s.Figure, s.PerUnit, s.Intercept)
 	}
 }
-
-func commit() string {
-	out, err := exec.Command("git", "rev-parse", "--short", "HEAD").Output()
-	if err != nil {
-		return "unknown"
-	}
-	return strings.TrimSpace(string(out))
-}
