--- a/standin/plot/main.go
+++ b/standin/plot/main.go
@@ -30,6 +30,8 @@
 	width    = 20 * vg.Centimeter
 	height   = 10 * vg.Centimeter
 	barWidth = 12
+	// margin is the room beside the first and the last scenario, in scenarios.
+	margin = 0.5
 )
 
 func main() {
@@ -72,6 +74,7 @@
 	picture.Title.Text = "99th percentile, " + deployment + ", commit " + file.Commit
 	picture.Y.Label.Text = "ms"
 	picture.Legend.Top = true
+	picture.Legend.Left = true
 	for i, variant := range variants {
 		bars, err := bars(scenarios, values[variant], i, len(variants))
 		if err != nil {
@@ -81,6 +84,8 @@
 		picture.Legend.Add(variant, bars)
 	}
 	picture.NominalX(scenarios...)
+	picture.X.Min = -margin
+	picture.X.Max = float64(len(scenarios)-1) + margin
 	return picture.Save(width, height, output)
 }
 
