Ask another replica for the rest of a truncated reply; let late answers count for less

Causes, found by running the proofs beside two other loads: a replica that truncates each reply was asked again and again, so 13 of 60 answers lacked its range though the other replica was sound; and one answer that waited a second for a hung replica lowered the limit on queries, so 2 of 59 were refused. Ruled out: the budget (retries of truncated replies need none) and sheds (none).

The rest of a truncated reply now goes to another replica, unless none is left; one answer counts for at most 4 times the latency without load in the limit. After: TestSpoiledReplies and TestAllRepliesSpoiled pass twice; new cases in TestQueries and TestGate.

--- a/core/constants.go
+++ b/core/constants.go
@@ -82,6 +82,9 @@
 	GateIncrease = 0.5
 	// GateLatencyWeight is the weight of one answer in the recent latency.
 	GateLatencyWeight = 0.1
+	// GateLatencyCap bounds what one answer counts for, in latencies without
+	// load, so that a few late answers alone do not lower the limit.
+	GateLatencyCap = 4.0
 	// GateCalmDrift is the factor by which the latency without load rises with
 	// each answer, unless answers are faster.
 	GateCalmDrift = 1.0001
--- a/core/engine_test.go
+++ b/core/engine_test.go
@@ -155,6 +155,18 @@
 	}{
 		{"all sound", "wait", sound, OutcomeAnswered, ReasonNone, 1, true},
 		{"one connection lost", "wait", on("s1", first(FailureLost), sound), OutcomeAnswered, ReasonNone, 1, true},
+		{"one replica that truncates", "wait", on("s1", func(_ context.Context, target Target, attempt SearchAttempt) (SearchReply, error) {
+			reply := covered(attempt)
+			if target.Name == "s1a" {
+				reply.Covered = []KeyRange{{Start: attempt.Ranges[0].Start, End: attempt.Ranges[0].Start + attempt.Ranges[0].Size()/2}}
+			}
+			return reply, nil
+		}, sound), OutcomeAnswered, ReasonNone, 1, true},
+		{"replicas that give a third at a time", "wait", on("s1", func(_ context.Context, _ Target, attempt SearchAttempt) (SearchReply, error) {
+			reply := covered(attempt)
+			reply.Covered = []KeyRange{{Start: attempt.Ranges[0].Start, End: min(attempt.Ranges[0].End, attempt.Ranges[0].Start+KeySpace/4)}}
+			return reply, nil
+		}, sound), OutcomeAnswered, ReasonNone, 1, true},
 		{"one bad reply", "wait", on("s1", first(FailureBadReply), sound), OutcomeAnswered, ReasonNone, 1, true},
 		{"one shed", "wait", on("s1", first(FailureNotRun), sound), OutcomeAnswered, ReasonNone, 1, true},
 		{"a shard that hangs", "wait", on("s1", hang, sound), OutcomeAnswered, ReasonNone, 0.5, false},
--- a/core/gate.go
+++ b/core/gate.go
@@ -129,6 +129,7 @@
 	if g.recent == 0 {
 		g.recent, g.calm = latency, latency
 	}
+	latency = min(latency, GateLatencyCap*g.calm)
 	g.recent += GateLatencyWeight * (latency - g.recent)
 	g.calm = min(g.calm*GateCalmDrift, g.recent)
 }
--- a/core/policy_test.go
+++ b/core/policy_test.go
@@ -66,6 +66,13 @@
 			}
 			So(gate.State().Limit, ShouldBeLessThan, 3)
 		})
+		Convey("does not admit fewer after one very late answer", func() {
+			gate.Enter(ctx, 2, 9)
+			gate.Leave(10, false)
+			gate.Enter(ctx, 2, 9)
+			gate.Leave(1000, false)
+			So(gate.State().Limit, ShouldBeGreaterThanOrEqualTo, 9)
+		})
 		Convey("turns away a waiter of a lower priority for one of a higher", func() {
 			gate.Enter(ctx, 2, 9)
 			gate.Leave(500, false)
--- a/core/set.go
+++ b/core/set.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -28,6 +29,14 @@
 	return ok
 }
 
+// Union returns the values of both sets.
+func (s Set[T]) Union(o Set[T]) Set[T] {
+	both := make(Set[T], len(s)+len(o))
+	maps.Copy(both, s)
+	maps.Copy(both, o)
+	return both
+}
+
 // Sorted returns the values in ascending order.
 func (s Set[T]) Sorted() []T {
 	values := make([]T, 0, len(s))
--- a/core/shard.go
+++ b/core/shard.go
@@ -19,7 +19,9 @@
 	part      PlanPart
 	collector *Collector
 
+	// exclude are replicas that failed, avoid those whose replies were truncated.
 	exclude Set[string]
+	avoid   Set[string]
 	dropped bool
 }
 
@@ -35,12 +37,17 @@
 // only for what is still missing.
 func (s *shard) run(ctx context.Context) error {
 	s.exclude = NewSet[string]()
+	s.avoid = NewSet[string]()
 	missing := NewRangeSet(s.part.Ranges...)
 	for number := range MaxAttemptsPerShard {
 		if number > 0 {
 			s.query.engine.Counters.Add(CountRetries, 1)
 		}
 		result, err := s.attempt(ctx, missing.Ranges())
+		if errors.Is(err, ErrNoReplica) && len(s.avoid) > 0 {
+			clear(s.avoid)
+			continue
+		}
 		if err != nil {
 			return s.failed(err)
 		}
@@ -50,9 +57,7 @@
 			if rest.Size() == 0 {
 				return nil
 			}
-			if rest.Size() == missing.Size() {
-				s.exclude.Add(result.permit.Target().Name)
-			}
+			s.truncated(result, rest.Size() < missing.Size())
 			missing = rest
 			continue
 		}
@@ -63,6 +68,17 @@
 	return s.failed(errShardFailed)
 }
 
+// truncated notes a reply that does not cover all that was asked. The rest is
+// asked of another replica, if there is one.
+func (s *shard) truncated(result attemptResult, progress bool) {
+	name := result.permit.Target().Name
+	if progress {
+		s.avoid.Add(name)
+		return
+	}
+	s.exclude.Add(name)
+}
+
 func (s *shard) failed(err error) error {
 	if s.dropped {
 		return errSnapshotDropped
@@ -185,11 +201,7 @@
 }
 
 func (s *shard) excluding(first *Permit) Set[string] {
-	exclude := NewSet(first.Target().Name)
-	for name := range s.exclude {
-		exclude.Add(name)
-	}
-	return exclude
+	return NewSet(first.Target().Name).Union(s.exclude).Union(s.avoid)
 }
 
 // isolated sends one attempt while no other isolated attempt of the query runs,
@@ -230,7 +242,7 @@
 	want.Snapshot = s.plan.Snapshot.ID
 	want.Priority = s.query.admitted.kind.Priority
 	if want.Exclude == nil {
-		want.Exclude = s.exclude
+		want.Exclude = s.exclude.Union(s.avoid)
 	}
 	return want
 }
