--- a/core/constants.go
+++ b/core/constants.go
@@ -30,6 +30,9 @@
 	MaxPeerLinks = 12
 	// ProbeIntervalMillis is the pause between two status probes of a quiet upstream.
 	ProbeIntervalMillis = 1 * Second
+	// ProbeReturnMillis is the pause between two probes of an upstream that gets
+	// no requests.
+	ProbeReturnMillis = 250 * Millis(1)
 	// UnreachableAfterProbes is how many failed probes in a row make an upstream
 	// unreachable without any failed request.
 	UnreachableAfterProbes = 2
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -395,6 +395,17 @@
 	return ok && len(f.eligible(s, Want{Collection: collection, Snapshot: snapshot})) > 0
 }
 
+// ProbePause returns how long to wait before the upstream is considered for the
+// next probe: less while it gets no requests, so that its return is seen soon.
+func (f *Fleet) ProbePause(name string) Millis {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if r, ok := f.replicas[name]; ok && r.routable() && !r.down {
+		return ProbeIntervalMillis
+	}
+	return ProbeReturnMillis
+}
+
 // DropSnapshot records that an upstream said it does not serve a snapshot.
 func (f *Fleet) DropSnapshot(name, collection string, snapshot uint64) {
 	f.mu.Lock()
@@ -420,7 +431,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r, ok := f.replicas[name]
-	return ok && (r.down || f.clock.Since(r.heardAt) >= ProbeIntervalMillis)
+	return ok && (r.down || !r.routable() || f.clock.Since(r.heardAt) >= ProbeIntervalMillis)
 }
 
 // ReplicaState is the view of one upstream, for the state dump.
--- a/core/prober.go
+++ b/core/prober.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"sync"
 
 	"golang.org/x/sync/errgroup"
@@ -93,8 +92,7 @@
 		if p.fleet.ProbeDue(target.Name) {
 			p.probe(ctx, target)
 		}
-		pause := ProbeIntervalMillis/2 + Millis(rand.Int64N(int64(ProbeIntervalMillis)))
-		_ = p.clock.Sleep(ctx, pause)
+		_ = p.clock.Sleep(ctx, jitter(p.fleet.ProbePause(target.Name)))
 	}
 }
 
--- a/standin/capacity/main.go
+++ b/standin/capacity/main.go
@@ -88,7 +88,7 @@
 		if err != nil {
 			return fmt.Errorf("%s: %w", m.size, err)
 		}
-		print(grown)
+		printGrowth(grown)
 		r.Growths = append(r.Growths, grown)
 	}
 	if output == "" {
@@ -101,7 +101,7 @@
 	return os.WriteFile(output, append(raw, '\n'), 0o644)
 }
 
-func print(g growth) {
+func printGrowth(g growth) {
 	fmt.Printf("%s\n", g.Size)
 	for _, p := range g.Points {
 		fmt.Printf("  %6.0f: %.4f core, %.1f MB heap, %.0f peer B/s, %.1f exchanges/s, %.2f platform reads/s, %.0f attempts/s, %.0f queries/s\n",
