Read what the scripted client sent under its lock

The race detector found the tests reading the list while an explored attempt that had been cut short was still ending. The tests were at fault, not the engine; each check stays as it was.

--- a/core/engine_test.go
+++ b/core/engine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -32,6 +33,14 @@
 	return c.order(target, attempt)
 }
 
+// sentTo returns the upstreams that were sent attempts, in order. Attempts that
+// were cut short may still be ending.
+func (c *scriptedClient) sentTo() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.sent)
+}
+
 func (c *scriptedClient) Probe(context.Context, Target) (UpstreamStatus, error) {
 	return live(1, 1, 2), nil
 }
@@ -224,24 +233,24 @@
 				return covered(attempt), nil
 			}
 			So(f.query("wait").Coverage.Whole(), ShouldBeTrue)
-			So(f.client.sent[0], ShouldStartWith, "s1")
-			for _, name := range f.client.sent[1:] {
+			So(f.client.sentTo()[0], ShouldStartWith, "s1")
+			for _, name := range f.client.sentTo()[1:] {
 				So(name, ShouldStartWith, "s2")
 			}
 			So(f.quarantine.Verdict(request.Fingerprint()), ShouldEqual, VerdictCleared)
 		})
 		Convey("if not, no other shard is asked, and it is refused from then on", func() {
 			f.client.search = func(context.Context, Target, SearchAttempt) (SearchReply, error) { return fail(FailureLost) }
-			for f.quarantine.Verdict(request.Fingerprint()) != VerdictConvicted && len(f.client.sent) < 10 {
+			for f.quarantine.Verdict(request.Fingerprint()) != VerdictConvicted && len(f.client.sentTo()) < 10 {
 				f.query("wait")
 				for _, name := range []string{"s1a", "s1b"} {
-					f.fleet.Observe(name, live(uint64(2+len(f.client.sent)), 1, 2))
+					f.fleet.Observe(name, live(uint64(2+len(f.client.sentTo())), 1, 2))
 				}
 			}
-			So(len(f.client.sent), ShouldEqual, ConvictAfterCrashes)
-			So(f.client.sent, ShouldNotContain, "s2a")
+			So(len(f.client.sentTo()), ShouldEqual, ConvictAfterCrashes)
+			So(f.client.sentTo(), ShouldNotContain, "s2a")
 			So(f.query("wait").Reason, ShouldEqual, ReasonCrashesUpstreams)
-			So(len(f.client.sent), ShouldEqual, ConvictAfterCrashes)
+			So(len(f.client.sentTo()), ShouldEqual, ConvictAfterCrashes)
 		})
 	})
 }
@@ -268,7 +277,7 @@
 				answer := f.engine.Query(context.Background(), tc.request)
 				So(answer.Outcome, ShouldEqual, OutcomeNotRun)
 				So(answer.Reason, ShouldEqual, tc.reason)
-				So(f.client.sent, ShouldBeEmpty)
+				So(f.client.sentTo(), ShouldBeEmpty)
 			})
 		}
 		Convey("a second request of the same identity while the first is in flight", func() {
@@ -336,11 +345,11 @@
 				answer := orders.Run(context.Background(), ticket, request)
 				So(answer.Outcome, ShouldEqual, tc.outcome)
 				So(answer.Reason, ShouldEqual, tc.reason)
-				So(len(f.client.sent), ShouldEqual, tc.attempts)
+				So(len(f.client.sentTo()), ShouldEqual, tc.attempts)
 				again := orders.Run(context.Background(), ticket, request)
 				if tc.outcome != OutcomeNotRun {
 					So(again.Outcome, ShouldEqual, tc.outcome)
-					So(len(f.client.sent), ShouldEqual, tc.attempts)
+					So(len(f.client.sentTo()), ShouldEqual, tc.attempts)
 				}
 			})
 		}
@@ -352,7 +361,7 @@
 			answer := other.Run(context.Background(), home.Mint(), request)
 			So(answer.Outcome, ShouldEqual, OutcomeUnknown)
 			So(answer.Reason, ShouldEqual, ReasonHomeLost)
-			So(f.client.sent, ShouldBeEmpty)
+			So(f.client.sentTo(), ShouldBeEmpty)
 		})
 	})
 }
