--- a/cli/check.go
+++ b/cli/check.go
@@ -8,8 +8,8 @@
 
 	"github.com/spf13/cobra"
 
+	"acaciavane/io/configservice"
 	"acaciavane/io/operator"
-	"acaciavane/io/platform"
 )
 
 func newCheckCommand(stdout io.Writer) *cobra.Command {
@@ -55,7 +55,7 @@
 		settings, err := operator.DecodeSettings(file, raw)
 		return fmt.Sprintf("settings of %s in %s", settings.Instance, settings.Zone), err
 	}
-	configuration, err := platform.NewDecoder().ConfigurationFile(file, raw)
+	configuration, err := configservice.NewDecoder().ConfigurationFile(file, raw)
 	return fmt.Sprintf("configuration %d of %s: %d services, %d collections",
 		configuration.Version, configuration.Deployment,
 		len(configuration.Services), len(configuration.Collections)), err
--- a/cli/entry.go
+++ b/cli/entry.go
@@ -17,7 +17,6 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
-	"acaciavane/core"
 	"acaciavane/io/caller"
 	"acaciavane/io/operator"
 	"acaciavane/io/peer"
@@ -25,8 +24,9 @@
 
 const (
 	readHeaderTimeout = 10 * time.Second
-	// stopTimeout bounds the wait for requests in flight at a planned stop.
-	stopTimeout = time.Duration(core.MaxTimeoutMillis) * time.Millisecond
+	// callerIdleTimeout closes connections of callers that send nothing. It is
+	// longer than callers of any deployment keep a connection that they use again.
+	callerIdleTimeout = 2 * time.Minute
 	// handOverTimeout bounds the hand-over of the tickets.
 	handOverTimeout = 2 * time.Second
 )
@@ -82,8 +82,10 @@
 	log      logr.Logger
 	metrics  *operator.Metrics
 	callers  *http.Server
-	admin    *http.Server
-	peers    *peer.Server
+	// ready is set for an instance whose balancer asks at an address of its own.
+	ready *http.Server
+	admin *http.Server
+	peers *peer.Server
 }
 
 func newEntryServer(settings operator.Settings, log logr.Logger, level *operator.LogLevel) (*entryServer, error) {
@@ -101,13 +103,20 @@
 	if err != nil {
 		return nil, err
 	}
-	callers := caller.New(i.clock, settings.Instance, i, i.counters, metrics.Observe, uuid.NewString, log)
+	handler := http.Handler(nil)
+	var ready *http.Server
+	if i.routes != nil {
+		handler, ready = i.routes.callers(), i.routes.serveReady()
+	} else {
+		handler = caller.New(i.clock, settings.Instance, i, i.counters, metrics.Observe, uuid.NewString, log).Handler()
+	}
 	admin := operator.New(i.state, i.readyForMore, metrics, level, log)
 	return &entryServer{
 		instance: i,
 		log:      log,
 		metrics:  metrics,
-		callers:  &http.Server{Handler: callers.Handler(), ReadHeaderTimeout: readHeaderTimeout},
+		callers:  &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout},
+		ready:    ready,
 		admin:    &http.Server{Handler: admin.Handler(), ReadHeaderTimeout: readHeaderTimeout},
 		peers:    peer.NewServer(i.clock, i, i.counters, log),
 	}, nil
@@ -118,7 +127,7 @@
 	tasks, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var group errgroup.Group
-	failed := make(chan error, 3)
+	failed := make(chan error, 4)
 	if err := s.listen(&group, failed); err != nil {
 		return err
 	}
@@ -145,6 +154,12 @@
 		{settings.OperatorAddress, s.admin.Serve},
 		{settings.ListenPeerAddress, s.peers.Serve},
 	}
+	if s.ready != nil {
+		serve = append(serve, struct {
+			address string
+			serve   func(net.Listener) error
+		}{settings.ReadyAddress, s.ready.Serve})
+	}
 	for _, server := range serve {
 		listener, err := net.Listen("tcp", server.address)
 		if err != nil {
@@ -170,7 +185,7 @@
 	s.log.Info("stopping: not ready any more", "drainMillis", i.settings.Drain)
 	_ = i.clock.Sleep(context.Background(), i.settings.Drain)
 	s.handOver()
-	limited, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	limited, cancel := context.WithTimeout(context.Background(), (i.settings.Stop - i.settings.Drain).Duration())
 	defer cancel()
 	if err := s.callers.Shutdown(limited); err != nil {
 		s.log.Error(err, "requests were still in flight at the end of the stop")
@@ -180,7 +195,11 @@
 	s.log.Info("stopped")
 }
 
+// handOver passes the tickets of orders on. Routed requests have none.
 func (s *entryServer) handOver() {
+	if s.instance.routes != nil {
+		return
+	}
 	limited, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
 	if err := s.instance.orders.HandOver(limited, s.instance.peers.Successors()); err != nil {
@@ -191,6 +210,9 @@
 
 func (s *entryServer) close() {
 	_ = s.callers.Close()
+	if s.ready != nil {
+		_ = s.ready.Close()
+	}
 	_ = s.admin.Close()
 	s.instance.peerClient.Close()
 	s.metrics.Close(context.Background())
--- a/cli/instance.go
+++ b/cli/instance.go
@@ -10,10 +10,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"acaciavane/core"
+	"acaciavane/io/configservice"
 	"acaciavane/io/operator"
 	"acaciavane/io/peer"
-	"acaciavane/io/platform"
 	"acaciavane/io/upstream"
+	"acaciavane/platform"
 )
 
 const dialTimeout = core.Second
@@ -39,8 +40,10 @@
 	gates        *core.GateSet
 	orders       *core.Orders
 	peerClient   *peer.Client
-	leaving      atomic.Bool
-	wasReady     atomic.Bool
+	// routes is set for an instance that passes requests on along routes.
+	routes   *routes
+	leaving  atomic.Bool
+	wasReady atomic.Bool
 }
 
 func newInstance(settings operator.Settings, log logr.Logger) *instance {
@@ -59,12 +62,16 @@
 		},
 	}
 	i.facts = core.NewFactLog(clock)
+	settings.Policy.ProbeSuspectsOnly = settings.Interface == operator.InterfaceRoutes
 	i.fleet = core.NewFleet(clock, settings.Zone, settings.Policy, i.tellFact)
 	i.quarantine = core.NewQuarantine(clock, i.tellFact)
 	i.budget = core.NewBudget(core.ExtraLoadShare, core.ExtraLoadBurst)
 	i.pause = core.NewPauseGuard(clock, i.counters, i.renewView)
 	i.wirePublished()
 	i.wireRequests()
+	if i.routes != nil {
+		i.routes.wire()
+	}
 	return i
 }
 
@@ -77,14 +84,51 @@
 	return dialer
 }
 
+// sources are where an instance learns what is published, and how often.
+type sources struct {
+	platform         core.Platform
+	decoder          core.Decoder
+	probes           core.ProbeClient
+	applyList        func(core.InstanceList)
+	cadence          core.ReadCadence
+	readersPerZone   int
+	exchangeInterval core.Millis
+}
+
+// chooseSources returns the sources for the instance's interface.
+func (i *instance) chooseSources(dialer *net.Dialer, upstreams *upstream.Client) sources {
+	if i.settings.Interface == operator.InterfaceRoutes {
+		i.routes = newRoutes(i, upstreams)
+		return sources{
+			platform:         platform.NewFeed(i.settings.PlatformAddress, dialer),
+			decoder:          platform.NewDecoder(),
+			probes:           i.routes.upstreams,
+			applyList:        i.routes.applyList,
+			cadence:          routesCadence(),
+			readersPerZone:   routesReadersPerZone,
+			exchangeInterval: routesExchangeInterval,
+		}
+	}
+	return sources{
+		platform:         configservice.New(i.settings.PlatformAddress, dialer),
+		decoder:          configservice.NewDecoder(),
+		probes:           upstreams,
+		applyList:        i.fleet.ApplyList,
+		cadence:          core.DefaultCadence(),
+		readersPerZone:   core.ReadersPerZone,
+		exchangeInterval: core.ExchangeIntervalMillis,
+	}
+}
+
 // wirePublished connects what operators publish and what peers say.
 func (i *instance) wirePublished() {
 	dialer := newDialer(i.settings.SourceAddress)
-	upstreams := upstream.New(i.clock, dialer)
-	i.prober = core.NewProber(i.clock, i.fleet, upstreams)
-	i.store = core.NewStore(i.clock, platform.NewDecoder(), i.counters)
+	upstreams := upstream.New(i.clock, dialer, i.counters)
+	sources := i.chooseSources(dialer, upstreams)
+	i.prober = core.NewProber(i.clock, i.fleet, sources.probes)
+	i.store = core.NewStore(i.clock, sources.decoder, i.counters)
 	i.store.OnConfiguration(i.applyConfiguration)
-	i.store.OnInstanceList(i.fleet.ApplyList)
+	i.store.OnInstanceList(sources.applyList)
 	i.peerClient = peer.New(i.clock, i.counters, dialer)
 	i.peers = core.NewPeers(core.PeersParts{
 		Self:     i.self,
@@ -95,13 +139,17 @@
 		Facts:    i.facts,
 		Counters: i.counters,
 		Apply:    i.applyFact,
+
+		ReadersPerZone:   sources.readersPerZone,
+		ExchangeInterval: sources.exchangeInterval,
 	})
 	i.publications = core.NewPublications(core.PublicationsParts{
 		Clock:    i.clock,
-		Platform: platform.New(i.settings.PlatformAddress, dialer),
+		Platform: sources.platform,
 		Store:    i.store,
 		Peers:    i.peers,
 		Counters: i.counters,
+		Cadence:  sources.cadence,
 		Log:      i.log,
 	})
 	i.gates = core.NewGateSet(i.clock, core.Priorities)
@@ -148,8 +196,12 @@
 }
 
 func (i *instance) applyConfiguration(configuration core.Configuration) {
-	i.fleet.Apply(configuration)
-	i.prober.Wake()
+	if i.routes != nil {
+		i.routes.applyConfiguration(configuration)
+	} else {
+		i.fleet.Apply(configuration)
+		i.prober.Wake()
+	}
 	i.log.Info("configuration in force", "version", configuration.Version, "digest", configuration.Digest)
 }
 
@@ -160,8 +212,12 @@
 	var group errgroup.Group
 	group.Go(func() error { return i.publications.Refresh(ctx) })
 	group.Go(func() error { i.peers.Tell(ctx); return nil })
-	group.Go(func() error { i.prober.ProbeAll(ctx); return nil })
-	_ = group.Wait()
+	if i.routes == nil {
+		group.Go(func() error { i.prober.ProbeAll(ctx); return nil })
+	}
+	if err := group.Wait(); err != nil {
+		i.log.Error(err, "the view could not be renewed")
+	}
 }
 
 // run keeps the tasks of the instance until ctx ends.
@@ -171,6 +227,9 @@
 	group.Go(func() error { return i.peers.Run(ctx) })
 	group.Go(func() error { return i.publications.Run(ctx) })
 	group.Go(func() error { return i.prober.Run(ctx) })
+	if i.routes != nil {
+		group.Go(func() error { return i.routes.run(ctx) })
+	}
 	return group.Wait()
 }
 
@@ -183,7 +242,10 @@
 	if _, ok := i.store.Current(); !ok {
 		return false
 	}
-	if !i.publications.AllTried() || !i.peers.AllTried() || !i.prober.AllTried() {
+	if !i.publications.AllTried() || !i.peers.AllTried() {
+		return false
+	}
+	if i.routes == nil && !i.prober.AllTried() {
 		return false
 	}
 	i.wasReady.Store(true)
@@ -198,6 +260,9 @@
 
 // readyForMore is what the balancer is told.
 func (i *instance) readyForMore() bool {
+	if i.routes != nil && !i.routes.router.Serviceable() {
+		return false
+	}
 	return i.current() && !i.leaving.Load()
 }
 
--- a/cli/options.go
+++ b/cli/options.go
@@ -3,9 +3,12 @@
 import (
 	"fmt"
 	"net/netip"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
+
+	"acaciavane/platform"
 )
 
 // Defaults of the options.
@@ -20,10 +23,13 @@
 }
 
 func (o *entryOptions) bind(command *cobra.Command) {
-	command.Flags().StringVar(&o.settings, "settings", "", "file with the settings of this instance (required)")
+	command.Flags().StringVar(&o.settings, "settings", "", "file with the settings of this instance (default: the file that "+platform.SettingsVariable+" names)")
 }
 
 func (o *entryOptions) validate() error {
+	if o.settings == "" {
+		o.settings = os.Getenv(platform.SettingsVariable)
+	}
 	if o.settings == "" {
 		return usageError("--settings: name the settings file of this instance")
 	}
--- /dev/null
+++ b/cli/routes.go
@@ -0,0 +1,142 @@
+package cli
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"acaciavane/core"
+	"acaciavane/io/upstream"
+	"acaciavane/platform"
+)
+
+// Timing of an instance on the users' platform.
+const (
+	// rosterTick is how often upstreams that are missing from the list are checked.
+	rosterTick = 250 * core.Millis(1)
+	// routesExchangeInterval is the pause between two exchanges with one peer:
+	// peers only help out where the store turns an instance away.
+	routesExchangeInterval = core.Second
+	// routesReadersPerZone lets every instance of today's deployments watch the
+	// store: its rate allows for it, and a change is in force soonest.
+	routesReadersPerZone = 8
+)
+
+// routesCadence reads the store often enough to notice within a configuration's
+// time to be in force that a connection to it fell silent.
+func routesCadence() core.ReadCadence {
+	return core.ReadCadence{
+		Wait:     core.Second,
+		Pause:    20,
+		RetryMin: 100,
+		RetryMax: 500,
+	}
+}
+
+// routes are the parts of an instance that pass requests on along routes.
+type routes struct {
+	instance  *instance
+	roster    *core.Roster
+	allowance *core.Allowance
+	upstreams *platform.Upstreams
+	router    *core.Router
+
+	mu            sync.Mutex
+	configuration core.Configuration
+	// size is how many instances there are.
+	size int
+}
+
+func newRoutes(i *instance, client *upstream.Client) *routes {
+	return &routes{
+		instance:  i,
+		roster:    core.NewRoster(i.clock),
+		allowance: core.NewAllowance(i.clock, i.settings.Repeats, 1),
+		upstreams: platform.NewUpstreams(i.clock, client),
+		size:      1,
+	}
+}
+
+// wire builds the router. The fleet and the pause guard must be there.
+func (r *routes) wire() {
+	i := r.instance
+	r.router = core.NewRouter(core.RouterParts{
+		Clock:     i.clock,
+		Fleet:     i.fleet,
+		Client:    r.upstreams,
+		Allowance: r.allowance,
+		Pause:     i.pause,
+		Counters:  i.counters,
+		Log:       i.log,
+	})
+}
+
+// applyConfiguration puts a configuration in force: first its services, so that
+// its routes find them.
+func (r *routes) applyConfiguration(configuration core.Configuration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.configuration = configuration
+	r.refresh()
+	r.router.Apply(configuration)
+}
+
+// applyList takes in a newer list of upstreams.
+func (r *routes) applyList(list core.InstanceList) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	appeared, missing := r.roster.Update(list)
+	r.refresh()
+	if len(appeared)+len(missing) > 0 {
+		r.instance.log.Info("upstreams changed", "appeared", appeared, "missing", missing, "revision", list.Revision)
+	}
+}
+
+// refresh brings the fleet up to the configuration, the roster and the number of
+// instances. The caller holds the lock.
+func (r *routes) refresh() {
+	i := r.instance
+	r.allowance.Resize(r.size)
+	configuration := r.configuration
+	configuration.Services = r.roster.Services(configuration)
+	configuration.MaxInstances = r.size
+	i.fleet.Apply(configuration)
+	for _, member := range r.roster.Members() {
+		phase := core.PhaseLive
+		if member.Leaving {
+			phase = core.PhaseLeaving
+		}
+		i.fleet.ObserveListed(member.Name, member.Incarnation, phase)
+	}
+	i.prober.Wake()
+}
+
+// run drops upstreams whose grace is over and follows the number of instances.
+func (r *routes) run(ctx context.Context) error {
+	for r.instance.clock.Sleep(ctx, rosterTick) == nil {
+		size := r.instance.peers.Size()
+		expired := r.roster.Expire()
+		r.mu.Lock()
+		if expired || size != r.size {
+			r.size = size
+			r.refresh()
+		}
+		r.mu.Unlock()
+	}
+	return nil
+}
+
+// serveReady returns the server that answers the balancer.
+func (r *routes) serveReady() *http.Server {
+	return &http.Server{Handler: platform.ReadyHandler(r.instance.readyForMore), ReadHeaderTimeout: readHeaderTimeout}
+}
+
+// callers returns the handler of callers' requests.
+func (r *routes) callers() http.Handler {
+	i := r.instance
+	limits := func() core.CallerLimits {
+		inForce, _ := i.store.Current()
+		return inForce.Configuration.Limits
+	}
+	return platform.NewCallerServer(i.clock, r.router, limits, i.leaving.Load, i.counters, i.log)
+}
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -35,6 +35,10 @@
 	Service string
 	// Lanes is how many connections may be open to the upstream.
 	Lanes int
+	// HealthPath is where the upstream says whether it is healthy.
+	HealthPath string
+	// Incarnation is the one that is believed to run.
+	Incarnation uint64
 }
 
 // SearchAttempt is one request to one upstream for a part of a query.
@@ -90,6 +94,11 @@
 	// FailureNoSnapshot means that the upstream does not serve the pinned
 	// snapshot and ran nothing.
 	FailureNoSnapshot FailureKind = "noSnapshot"
+	// FailureMisdirected means that another upstream has the address now. It ran
+	// nothing.
+	FailureMisdirected FailureKind = "misdirected"
+	// FailureError means that the upstream ran the request and failed.
+	FailureError FailureKind = "upstreamError"
 	// FailureLost means that the connection broke after bytes had left.
 	FailureLost FailureKind = "lost"
 	// FailureTimeout means that the deadline passed or the attempt was cancelled.
@@ -123,7 +132,7 @@
 // ProvesNotRun reports whether the failure proves that the upstream ran nothing.
 func (e *AttemptError) ProvesNotRun() bool {
 	switch e.Kind {
-	case FailureNotSent, FailureNotRun, FailureNoSnapshot:
+	case FailureNotSent, FailureNotRun, FailureNoSnapshot, FailureMisdirected:
 		return true
 	}
 	return false
@@ -148,10 +157,28 @@
 // connections to it were in use.
 var ErrNoFreeConnection = errors.New("all connections are in use")
 
+// RoutedAttempt is one routed request as one upstream gets it.
+type RoutedAttempt struct {
+	ID       string
+	Message  Message
+	Deadline Millis
+}
+
+// RoutedClient sends routed requests to upstreams. Its errors are *AttemptError.
+type RoutedClient interface {
+	Send(ctx context.Context, target Target, attempt RoutedAttempt) (RoutedReply, error)
+}
+
 // UpstreamClient sends attempts to upstreams. Its errors are *AttemptError.
 type UpstreamClient interface {
+	ProbeClient
 	Search(ctx context.Context, target Target, attempt SearchAttempt) (SearchReply, error)
 	Order(ctx context.Context, target Target, attempt OrderAttempt) (OrderReply, error)
+}
+
+// ProbeClient looks after the connections to upstreams. Its errors are
+// *AttemptError.
+type ProbeClient interface {
 	// Probe asks for the upstream's status and opens its lanes ahead of need.
 	Probe(ctx context.Context, target Target) (UpstreamStatus, error)
 	// Retain closes the connections to all upstreams but those named.
--- a/core/clock.go
+++ b/core/clock.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Millis is a duration, or a point in time since the Unix epoch, in milliseconds.
@@ -20,20 +23,52 @@
 	return time.Duration(m) * time.Millisecond
 }
 
-// Clock reads time in milliseconds. It never steps backwards, and it goes on
-// while the process is suspended.
+// Clock reads time in milliseconds. It never steps backwards. The time for which
+// the process was suspended is added when Resync notices it.
 type Clock struct {
-	read func() Millis
+	read   func() Millis
+	resync func()
 }
 
 // NewClock returns a clock that starts at the wall time of the call and follows
 // the monotonic clock from then on.
 func NewClock() Clock {
 	started := time.Now()
+	startedBoot := bootTime()
 	base := Millis(started.UnixMilli())
-	return Clock{read: func() Millis {
-		return base + Millis(time.Since(started).Milliseconds())
-	}}
+	var suspended atomic.Int64
+	return Clock{
+		read: func() Millis {
+			return base + Millis(time.Since(started).Milliseconds()+suspended.Load())
+		},
+		resync: func() {
+			gap := int64(bootTime()-startedBoot) - time.Since(started).Milliseconds()
+			if known := suspended.Load(); gap > known+suspendedNoiseMillis {
+				suspended.CompareAndSwap(known, gap)
+			}
+		},
+	}
+}
+
+// suspendedNoiseMillis is the difference between two clocks that are read one
+// after the other which does not count as a suspension.
+const suspendedNoiseMillis = 100
+
+// bootTime reads the clock that goes on while the process is suspended.
+func bootTime() Millis {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		return 0
+	}
+	return Millis(now.Nano() / int64(time.Millisecond))
+}
+
+// Resync takes in the time for which the process was suspended, which the
+// monotonic clock does not count.
+func (c Clock) Resync() {
+	if c.resync != nil {
+		c.resync()
+	}
 }
 
 // NewClockFrom returns a clock that takes its readings from read.
--- a/core/configuration.go
+++ b/core/configuration.go
@@ -21,6 +21,16 @@
 	MaxInstances int
 	Services     []Service
 	Collections  []Collection
+	Routes       []Route
+	Limits       CallerLimits
+}
+
+// CallerLimits bound what a caller may send, and how long it may take.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout Millis
+	IdleTimeout   Millis
 }
 
 // Service is one shard server with its replicas.
@@ -30,7 +40,9 @@
 	Slots int
 	// Connections is the most connections that one upstream accepts from all instances.
 	Connections int
-	Upstreams   []Upstream
+	// HealthPath is where an upstream says whether it is healthy, if there is one.
+	HealthPath string
+	Upstreams  []Upstream
 }
 
 // Upstream is one replica of a service.
@@ -38,6 +50,9 @@
 	Name    string
 	Address string
 	Zone    string
+	// Unlisted upstreams are missing from the newest instance list. They are
+	// used only where their service has no other.
+	Unlisted bool
 }
 
 // Collection is a set of records that is searched as a whole.
@@ -164,4 +179,9 @@
 	Address     string
 	Incarnation uint64
 	Leaving     bool
+	// Service and Slots are set for an upstream that the configuration does not name.
+	Service string
+	Slots   int
+	// Cold is how much longer an upstream is slow after its start.
+	Cold Millis
 }
--- a/core/constants.go
+++ b/core/constants.go
@@ -24,6 +24,12 @@
 	ExchangeTimeoutMillis = 400 * Millis(1)
 	// PeerAliveMillis is how long after its last exchange a peer counts as alive.
 	PeerAliveMillis = 3 * Second
+	// KnownPeerMillis is how long after it was last heard of an instance is
+	// counted and passed on to peers.
+	KnownPeerMillis = 10 * Second
+	// ListSilenceMillis is how long ago an instance last read the platform when
+	// its peers tell it the instance list.
+	ListSilenceMillis = 2500 * Millis(1)
 	// PeerRetryMaxMillis is the longest pause after failed exchanges with a peer.
 	PeerRetryMaxMillis = 2 * Second
 	// MaxPeerLinks is the most peers that an instance exchanges news with.
@@ -113,6 +119,11 @@
 	HedgeMinMillis = 2 * Millis(1)
 	// LatencyWeight is the weight of one reply in the latency of a replica.
 	LatencyWeight = 0.25
+	// LatencyHalfLifeMillis is the time in which what a replica took beyond the
+	// usual counts for half, unless it is used again.
+	LatencyHalfLifeMillis = 1500 * Millis(1)
+	// MedianQuantile is the quantile that stands for the usual latency.
+	MedianQuantile = 0.5
 	// LateFactor is what the time that an attempt has waited without a reply is
 	// multiplied by to estimate its latency.
 	LateFactor = 2.0
@@ -124,6 +135,14 @@
 	SlowStartMillis = 2 * Second
 	// SlowStartFactor multiplies the score of a replica at its start.
 	SlowStartFactor = 4.0
+	// ErrorWeight is the weight of one attempt in the error rate of a replica.
+	ErrorWeight = 0.15
+	// ErrorPenalty is how much the score of a replica that always fails grows.
+	ErrorPenalty = 8.0
+	// SilentAfterMillis is how long an upstream may leave an attempt without a
+	// reply before it counts as unreachable, unless it was heard meanwhile. It is
+	// longer than the pauses of upstreams.
+	SilentAfterMillis = 200 * Millis(1)
 	// EjectAfterFailures is how many failures in a row eject a replica.
 	EjectAfterFailures = 3
 	// EjectMinMillis is the first ejection of a replica.
@@ -138,6 +157,42 @@
 	LimitDecrease = 0.7
 )
 
+// Routed requests.
+const (
+	// HedgeMedianFactor times the usual latency of a route is when an attempt of
+	// it is late.
+	HedgeMedianFactor = 1.9
+	// HedgeObjectiveFactor times the latency objective of a route is when an
+	// attempt of it is late, while its usual latency is not known, and at the
+	// latest.
+	HedgeObjectiveFactor = 0.25
+	// HedgePart is the part of the allowance of repeats that hedges may use. The
+	// rest is left to retries after failures.
+	HedgePart = 0.8
+	// MaxArrivals is how often one request may arrive at one service, refused
+	// arrivals included.
+	MaxArrivals = 4
+	// CloseMarginMillis is how long before its latency objective an answer is
+	// closed that could do without the missing shards: the way to the caller and
+	// back, and as much again for callers that open a connection.
+	CloseMarginMillis = 12 * Millis(1)
+	// RoomWaitFactor times the latency objective is how long a request may wait
+	// for room at an upstream before it is refused.
+	RoomWaitFactor = 0.2
+	// LoserGraceMillis is how long an attempt that is not waited for any more may
+	// go on, so that its connection can be kept. It is longer than the pauses of
+	// upstreams and shorter than callers that left are to be worked for.
+	LoserGraceMillis = 250 * Millis(1)
+	// RetrySoonMillis is when to come back after a refusal that another instance
+	// may not repeat.
+	RetrySoonMillis = 20 * Millis(1)
+	// RetryLaterMillis is when to come back after a refusal for want of room.
+	RetryLaterMillis = 100 * Millis(1)
+	// ReplyMarginMillis is kept back from a deadline so that its answer still
+	// reaches the caller.
+	ReplyMarginMillis = 15 * Millis(1)
+)
+
 // Requests that crash upstreams.
 const (
 	// ConvictAfterCrashes is how many isolated runs must crash before the
--- a/core/counters.go
+++ b/core/counters.go
@@ -17,7 +17,9 @@
 	CountHedges
 	CountHedgeWins
 	CountRetries
+	CountRepeatsRefused
 	CountBadReplies
+	CountForeignReplies
 	CountLostConnections
 	CountShedByUpstream
 	CountSnapshotRestarts
@@ -53,7 +55,9 @@
 	CountHedges:                 "hedges",
 	CountHedgeWins:              "hedgeWins",
 	CountRetries:                "retries",
+	CountRepeatsRefused:         "repeatsRefusedByAllowance",
 	CountBadReplies:             "badReplies",
+	CountForeignReplies:         "foreignReplies",
 	CountLostConnections:        "lostConnections",
 	CountShedByUpstream:         "shedByUpstream",
 	CountSnapshotRestarts:       "snapshotRestarts",
--- /dev/null
+++ b/core/dispatch.go
@@ -0,0 +1,251 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// dispatch sends one routed request to the upstreams of one service until one of
+// them has answered it: to another one when an attempt is late or has failed.
+type dispatch struct {
+	router   *Router
+	route    Route
+	request  RoutedRequest
+	service  string
+	deadline Millis
+	// patience ends the wait for room at an upstream.
+	patience Millis
+	// work carries the attempts. It outlives the wait for them by a while.
+	work context.Context
+
+	exclude Set[string]
+	running map[*Permit]struct{}
+	// arrivals counts the attempts that may have reached an upstream, runs those
+	// that it may have run.
+	arrivals int
+	runs     int
+	results  chan routedResult
+}
+
+// routedResult is the end of one attempt.
+type routedResult struct {
+	permit  *Permit
+	reply   RoutedReply
+	failure *AttemptError
+}
+
+// run returns the first whole reply, or the last failure. ctx ends the wait for
+// the reply. A reply that comes with a failure is what the upstream answered.
+func (d *dispatch) run(ctx context.Context) (RoutedReply, *AttemptError) {
+	d.exclude = NewSet[string]()
+	d.running = map[*Permit]struct{}{}
+	d.results = make(chan routedResult, MaxArrivals+1)
+	d.router.Allowance.Earn(d.service)
+	if failure := d.start(ctx, Want{}); failure != nil {
+		return RoutedReply{}, failure
+	}
+	clock := d.router.Clock
+	hedge := time.NewTimer(d.router.paces.hedgeAfter(d.route).Duration())
+	defer hedge.Stop()
+	silence := time.NewTimer(SilentAfterMillis.Duration())
+	defer silence.Stop()
+	for {
+		select {
+		case result := <-d.results:
+			delete(d.running, result.permit)
+			if result.failure == nil {
+				return result.reply, nil
+			}
+			d.settle(result)
+			if d.retry(ctx, result) || len(d.running) > 0 {
+				continue
+			}
+			return result.reply, result.failure
+		case <-hedge.C:
+			d.late()
+			d.hedge(ctx)
+		case <-silence.C:
+			d.silent()
+		case <-ctx.Done():
+			return RoutedReply{}, &AttemptError{Kind: FailureTimeout, Detail: "wait for " + d.service, Cause: ctx.Err()}
+		}
+		if clock.Now() >= d.deadline {
+			return RoutedReply{}, &AttemptError{Kind: FailureTimeout, Detail: "deadline at " + d.service}
+		}
+	}
+}
+
+// start sends an attempt to an upstream that may be given new work now.
+func (d *dispatch) start(ctx context.Context, want Want) *AttemptError {
+	want.Service = d.service
+	want.Priority = d.route.Priority
+	if want.Exclude == nil {
+		want.Exclude = d.exclude
+	}
+	waiting, cancel := d.router.Clock.WithDeadline(ctx, d.patience)
+	defer cancel()
+	permit, err := d.router.acquire(waiting, want, d.request.Arrived)
+	if err != nil {
+		return &AttemptError{Kind: FailureNotSent, Detail: "no room at " + d.service, Cause: err}
+	}
+	d.arrivals++
+	d.runs++
+	d.running[permit] = struct{}{}
+	d.router.Counters.Add(CountAttempts, 1)
+	go func() { d.results <- d.send(permit) }()
+	return nil
+}
+
+// send makes one attempt and settles its permit.
+func (d *dispatch) send(permit *Permit) routedResult {
+	reply, err := d.router.Client.Send(d.work, permit.Target(), RoutedAttempt{
+		ID:       d.request.ID,
+		Message:  d.request.Message,
+		Deadline: d.deadline,
+	})
+	result := routedResult{permit: permit, reply: reply}
+	if err != nil {
+		result.failure = attemptFailure(err)
+		if reply.Status != 0 {
+			permit.Heard()
+		}
+		permit.Fail(result.failure)
+		return result
+	}
+	d.router.paces.observe(d.route, permit.Complete())
+	return result
+}
+
+// settle takes in what a failure proves.
+func (d *dispatch) settle(result routedResult) {
+	name := result.permit.Target().Name
+	d.exclude.Add(name)
+	failure := result.failure
+	if failure.ProvesNotRun() {
+		d.runs--
+	}
+	if failure.Kind == FailureNotSent {
+		d.arrivals--
+	}
+	d.router.countFailure(failure)
+	d.router.story(d.request, "attempt failed", "service", d.service, "upstream", name,
+		"failure", string(failure.Kind), "detail", failure.Error())
+}
+
+// retry sends the request to another upstream after a failure, if that may be
+// done and serves a purpose.
+func (d *dispatch) retry(ctx context.Context, result routedResult) bool {
+	if ctx.Err() != nil || len(d.running) > 0 || !d.mayRepeat() {
+		return false
+	}
+	if d.arrivals > 0 && !d.spend(1) {
+		return false
+	}
+	d.router.Counters.Add(CountRetries, 1)
+	if d.start(ctx, Want{}) == nil {
+		return true
+	}
+	if result.failure.Kind == FailureNotRun && d.pause(ctx) && d.start(ctx, Want{Exclude: NewSet[string]()}) == nil {
+		return true
+	}
+	if d.arrivals > 0 {
+		d.router.Allowance.Refund(d.service)
+	}
+	return false
+}
+
+// pause waits a moment before an upstream that had no room is asked again.
+func (d *dispatch) pause(ctx context.Context) bool {
+	return d.router.Clock.Sleep(ctx, jitter(2*ShedPauseMillis)) == nil
+}
+
+// mayRepeat reports whether the request may be given to one more upstream.
+func (d *dispatch) mayRepeat() bool {
+	if d.arrivals >= MaxArrivals || d.runs >= d.route.MaxAttempts {
+		return false
+	}
+	return d.runs == 0 || d.route.Idempotent
+}
+
+func (d *dispatch) spend(part float64) bool {
+	if d.router.Allowance.Spend(d.service, part) {
+		return true
+	}
+	d.router.Counters.Add(CountRepeatsRefused, 1)
+	return false
+}
+
+// hedge sends a second attempt beside a late one.
+func (d *dispatch) hedge(ctx context.Context) {
+	if len(d.running) != 1 || !d.route.Idempotent || !d.mayRepeat() || !d.spend(HedgePart) {
+		return
+	}
+	exclude := d.exclude.Union(NewSet[string]())
+	for permit := range d.running {
+		exclude.Add(permit.Target().Name)
+	}
+	if d.start(ctx, Want{Exclude: exclude, NoWait: true}) != nil {
+		d.router.Allowance.Refund(d.service)
+		return
+	}
+	d.router.Counters.Add(CountHedges, 1)
+}
+
+// late lets the choice of replicas know of attempts that are late.
+func (d *dispatch) late() {
+	for permit := range d.running {
+		permit.Slow()
+	}
+}
+
+// silent takes upstreams that were not heard at all out of use until they are.
+func (d *dispatch) silent() {
+	for permit := range d.running {
+		if permit.Silent() {
+			d.router.Log.Info("upstream fell silent", "upstream", permit.Target().Name, "service", d.service)
+		}
+	}
+}
+
+// viewAge is how long ago the view was last known to be current when it is checked
+// again for a suspension of the process.
+const viewAge = 5 * Millis(1)
+
+// acquire returns a permit for an upstream that may be given new work now. The
+// view is renewed first if the process was suspended. checked is when that was
+// last ruled out.
+func (r *Router) acquire(ctx context.Context, want Want, checked Millis) (*Permit, error) {
+	for {
+		permit, err := r.Fleet.Acquire(ctx, want)
+		if err != nil {
+			return nil, err
+		}
+		if r.Clock.Since(checked) > viewAge {
+			if err := r.Pause.Await(ctx); err != nil {
+				permit.Release()
+				return nil, err
+			}
+		}
+		if permit.Sendable() {
+			return permit, nil
+		}
+		permit.Release()
+	}
+}
+
+func (r *Router) countFailure(failure *AttemptError) {
+	switch failure.Kind {
+	case FailureLost:
+		r.Counters.Add(CountLostConnections, 1)
+	case FailureNotRun, FailureMisdirected:
+		r.Counters.Add(CountShedByUpstream, 1)
+	case FailureBadReply:
+		r.Counters.Add(CountBadReplies, 1)
+	}
+}
+
+// withoutRoom reports whether a failure came of a wait for room.
+func withoutRoom(failure *AttemptError) bool {
+	return errors.Is(failure, context.DeadlineExceeded)
+}
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -1,6 +1,12 @@
 package core
 
-import "context"
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // PeerInfo is what an instance says of itself.
 type PeerInfo struct {
@@ -11,6 +17,12 @@
 	Leaving     bool
 }
 
+// KnownPeer is an instance that was heard of some time ago.
+type KnownPeer struct {
+	Info PeerInfo
+	Age  Millis
+}
+
 // Exchange is what one instance tells another, in a request and in its reply.
 type Exchange struct {
 	From PeerInfo
@@ -26,8 +38,12 @@
 	// the receiver lacks it.
 	ListRevision uint64
 	InstanceList []byte
-	// PlatformAge is how long ago the sender last had news of the platform.
+	// PlatformAge is how long ago the sender last had news of the platform, and
+	// ReadAge how long ago it last read the platform itself.
 	PlatformAge Millis
+	ReadAge     Millis
+	// Known are other instances that the sender has heard of lately.
+	Known []KnownPeer
 	// Facts are new to the receiver; Sequence is the sender's last one.
 	Facts    []Fact
 	Sequence uint64
@@ -107,6 +123,8 @@
 	message := Exchange{
 		From:            self,
 		PlatformAge:     p.Store.PlatformAge(),
+		ReadAge:         p.Store.ReadAge(),
+		Known:           p.news(peer),
 		SeenIncarnation: peer.info.Incarnation,
 		SeenSequence:    peer.seen,
 	}
@@ -120,13 +138,61 @@
 	message.Wants = p.mayFetch(peer)
 	list := p.Store.List()
 	message.ListRevision = list.Revision
-	if peer.info.Incarnation != 0 && list.Revision > peer.listRevision {
+	if peer.info.Incarnation != 0 && list.Revision > peer.listRevision && peer.needsList() {
 		message.InstanceList = list.Raw
 	}
 	message.Facts, message.Sequence = p.Facts.Since(peer.acked)
 	return message
 }
 
+// needsList reports whether the peer depends on others for the instance list.
+func (s *peerState) needsList() bool {
+	return s.readAge > ListSilenceMillis
+}
+
+// news returns the instances that were heard of lately, when they are others than
+// the peer was last told of, or it is time to tell it again. The caller holds the
+// lock.
+func (p *Peers) news(peer *peerState) []KnownPeer {
+	now := p.Clock.Now()
+	var known []KnownPeer
+	digest := xxhash.New()
+	for _, address := range slices.Sorted(maps.Keys(p.peers)) {
+		other := p.peers[address]
+		age := now - other.heardAt
+		if other == peer || other.info.Incarnation == 0 || age > KnownPeerMillis {
+			continue
+		}
+		known = append(known, KnownPeer{Info: other.info, Age: age})
+		_, _ = digest.WriteString(address)
+	}
+	if digest.Sum64() == peer.told && now-peer.toldAt < KnownPeerMillis/2 {
+		return nil
+	}
+	peer.told, peer.toldAt = digest.Sum64(), now
+	return known
+}
+
+// learn takes in instances that a peer has heard of. The caller holds the lock.
+func (p *Peers) learn(known []KnownPeer) {
+	now := p.Clock.Now()
+	for _, k := range known {
+		address := k.Info.Address
+		if address == "" || address == p.Self.Address || k.Age > KnownPeerMillis {
+			continue
+		}
+		peer, ok := p.peers[address]
+		if !ok {
+			peer = &peerState{address: address}
+			p.peers[address] = peer
+		}
+		if heardAt := now - k.Age; heardAt > peer.heardAt {
+			peer.info = k.Info
+			peer.heardAt = heardAt
+		}
+	}
+}
+
 // mayFetch reports whether the peer is asked for its configuration: it is newer,
 // and none that another peer was asked for is awaited.
 func (p *Peers) mayFetch(peer *peerState) bool {
@@ -168,6 +234,7 @@
 	if peer, ok := p.peers[address]; ok {
 		peer.update(message, p.Self.Incarnation, p.Clock.Now())
 	}
+	p.learn(message.Known)
 	p.mu.Unlock()
 	p.Store.HeardPlatform(message.PlatformAge)
 	if len(message.Configuration) > 0 {
@@ -207,6 +274,7 @@
 	s.version = message.ConfigurationVersion
 	s.digest = message.ConfigurationDigest
 	s.wants = message.Wants
+	s.readAge = message.ReadAge
 	s.listRevision = message.ListRevision
 	s.seen = max(s.seen, message.Sequence)
 	if message.SeenIncarnation == self {
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -104,9 +104,10 @@
 
 func (f *Fleet) keepReplica(spec Service, upstream Upstream, share int) *replica {
 	r, ok := f.replicas[upstream.Name]
-	if !ok || r.upstream != upstream || r.service != spec.Name {
+	if !ok || r.upstream.Address != upstream.Address || r.upstream.Zone != upstream.Zone || r.service != spec.Name {
 		return newReplica(spec, upstream, share)
 	}
+	r.upstream.Unlisted = upstream.Unlisted
 	if r.slots != spec.Slots || r.share != share {
 		r.resize(spec.Slots, share)
 	}
@@ -122,6 +123,11 @@
 	}
 }
 
+// ObserveListed takes in what the instance list says of an upstream.
+func (f *Fleet) ObserveListed(name string, incarnation uint64, phase Phase) {
+	f.observe(name, UpstreamStatus{Incarnation: incarnation, Phase: phase}, "instance list")
+}
+
 // MarkLeaving takes in word that an incarnation of an upstream is leaving. Word
 // of a former incarnation is ignored. It reports whether this was news.
 func (f *Fleet) MarkLeaving(name string, incarnation uint64, source string) bool {
@@ -302,10 +308,8 @@
 func (f *Fleet) take(s *service, want Want) *Permit {
 	now := f.clock.Now()
 	candidates := f.eligible(s, want)
-	kept := slices.DeleteFunc(slices.Clone(candidates), func(r *replica) bool { return r.down || r.ejected(now) })
-	if len(kept) == 0 {
-		kept = candidates
-	}
+	kept := preferred(candidates, func(r *replica) bool { return !r.upstream.Unlisted })
+	kept = preferred(kept, func(r *replica) bool { return !r.down && !r.ejected(now) })
 	if len(kept) == 0 {
 		return nil
 	}
@@ -318,6 +322,20 @@
 	return f.grantPermit(best, want, now)
 }
 
+// preferred returns the candidates that match, or all where none does.
+func preferred(candidates []*replica, match func(*replica) bool) []*replica {
+	var kept []*replica
+	for _, r := range candidates {
+		if match(r) {
+			kept = append(kept, r)
+		}
+	}
+	if len(kept) == 0 {
+		return candidates
+	}
+	return kept
+}
+
 func (f *Fleet) grantPermit(r *replica, want Want, now Millis) *Permit {
 	r.inFlight++
 	r.exclusive = want.Exclusive
@@ -328,7 +346,7 @@
 	if f.policy.RandomReplica {
 		return rand.Float64()
 	}
-	score := r.score(f.zone, now)
+	score := r.score(f.zone, float64(s.window.quantile(MedianQuantile).Or(0)), now)
 	if !r.hasRoom(want.Exclusive) {
 		score *= float64(1 + len(s.waiters))
 	}
@@ -415,6 +433,20 @@
 	}
 }
 
+// ReachableServices returns how many of the services have an upstream that may be
+// given new work.
+func (f *Fleet) ReachableServices(services []string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	count := 0
+	for _, name := range services {
+		if s, ok := f.services[name]; ok && slices.ContainsFunc(s.replicas, (*replica).routable) {
+			count++
+		}
+	}
+	return count
+}
+
 // Targets returns all upstreams.
 func (f *Fleet) Targets() []Target {
 	f.mu.Lock()
@@ -431,7 +463,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	r, ok := f.replicas[name]
-	return ok && (r.down || !r.routable() || f.clock.Since(r.heardAt) >= ProbeIntervalMillis)
+	if !ok {
+		return false
+	}
+	if f.policy.ProbeSuspectsOnly {
+		return r.phase == PhaseLive && (r.down || r.probeFailures > 0)
+	}
+	return r.down || !r.routable() || f.clock.Since(r.heardAt) >= ProbeIntervalMillis
 }
 
 // ReplicaState is the view of one upstream, for the state dump.
--- a/core/pause.go
+++ b/core/pause.go
@@ -37,6 +37,7 @@
 func (g *PauseGuard) tick(ctx context.Context, running bool) <-chan struct{} {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.clock.Resync()
 	now := g.clock.Now()
 	gap := now - g.lastTick
 	if running || gap > PauseThresholdMillis {
--- a/core/peers.go
+++ b/core/peers.go
@@ -29,6 +29,10 @@
 	Store    *Store
 	Facts    *FactLog
 	Counters *Counters
+	// ReadersPerZone is how many instances of a zone watch the platform.
+	ReadersPerZone int
+	// ExchangeInterval is the pause between two exchanges with one peer.
+	ExchangeInterval Millis
 	// Apply takes in a fact that was new.
 	Apply func(Fact)
 }
@@ -56,11 +60,15 @@
 	// acked is how far the peer has taken in this instance's facts.
 	acked uint64
 	// seen is how far this instance has taken in the peer's facts.
-	seen          uint64
-	version       uint64
-	digest        string
-	wants         bool
-	listRevision  uint64
+	seen         uint64
+	version      uint64
+	digest       string
+	wants        bool
+	listRevision uint64
+	readAge      Millis
+	// told is a digest of the instances that the peer was last told of.
+	told          uint64
+	toldAt        Millis
 	lastError     string
 	failuresInRow int
 }
@@ -93,7 +101,7 @@
 			p.kickAll()
 		case <-published:
 			p.kickAll()
-		case <-p.Clock.After(2 * ExchangeIntervalMillis):
+		case <-p.Clock.After(2 * p.ExchangeInterval):
 		case <-ctx.Done():
 			return group.Wait()
 		}
@@ -165,7 +173,7 @@
 	}
 	now := p.Clock.Now()
 	for address, peer := range p.peers {
-		if !keep.Has(address) && now-peer.heardAt > PeerAliveMillis {
+		if !keep.Has(address) && now-peer.heardAt > KnownPeerMillis {
 			delete(p.peers, address)
 			p.Client.Forget(address)
 		}
@@ -187,7 +195,7 @@
 func (p *Peers) serve(ctx context.Context, address string, kick <-chan struct{}) {
 	for ctx.Err() == nil {
 		err := p.exchange(ctx, address)
-		pause := ExchangeIntervalMillis
+		pause := p.ExchangeInterval
 		if err != nil {
 			pause = p.backoff(address)
 		}
@@ -203,7 +211,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	failures := p.peers[address].failures()
-	return min(ExchangeIntervalMillis<<min(failures, 3), PeerRetryMaxMillis)
+	return min(p.ExchangeInterval<<min(failures, 3), PeerRetryMaxMillis)
 }
 
 func (s *peerState) failures() int {
@@ -240,6 +248,21 @@
 	return alive
 }
 
+// Size returns how many instances there are, as far as is known: this one and
+// those that were heard of lately.
+func (p *Peers) Size() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	size := 1
+	for _, peer := range p.peers {
+		if peer.info.Incarnation != 0 && now-peer.heardAt <= KnownPeerMillis {
+			size++
+		}
+	}
+	return size
+}
+
 // Successors returns the addresses of live peers that are not leaving, those of
 // the instance's own zone first.
 func (p *Peers) Successors() []string {
@@ -293,7 +316,7 @@
 			before++
 		}
 	}
-	return before < ReadersPerZone
+	return before < p.ReadersPerZone
 }
 
 // zoneMates returns the names of the other instances in the zone that are not
--- a/core/peers_test.go
+++ b/core/peers_test.go
@@ -43,6 +43,7 @@
 		seeds = append(seeds, fmt.Sprintf("127.0.0.1:%d", 7000+i))
 	}
 	return NewPeers(PeersParts{
+		ReadersPerZone: ReadersPerZone, ExchangeInterval: ExchangeIntervalMillis,
 		Self:  PeerInfo{Name: "self", Zone: "z", Address: "127.0.0.1:6999", Incarnation: 1},
 		Seeds: seeds, Clock: clock, Client: client, Store: store,
 		Facts: NewFactLog(clock), Counters: NewCounters(), Apply: applied,
--- a/core/permit.go
+++ b/core/permit.go
@@ -40,6 +40,37 @@
 	p.Release()
 }
 
+// Complete records a whole reply that says nothing of the upstream's state, and
+// releases the permit.
+func (p *Permit) Complete() Millis {
+	f := p.fleet
+	now := f.clock.Now()
+	latency := now - p.since
+	f.mu.Lock()
+	p.replica.succeed(latency, now)
+	p.replica.heard(now)
+	f.mu.Unlock()
+	p.Release()
+	return latency
+}
+
+// Heard records that the upstream replied, whatever it said.
+func (p *Permit) Heard() {
+	f := p.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p.replica.heard(f.clock.Now())
+}
+
+// Silent records that the attempt has waited long, and reports whether the
+// upstream counts as unreachable now for that reason.
+func (p *Permit) Silent() bool {
+	f := p.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !p.released && p.replica.silent(p.since)
+}
+
 // Fail records a failed attempt and releases the permit.
 func (p *Permit) Fail(failure *AttemptError) {
 	f := p.fleet
@@ -48,9 +79,12 @@
 	switch failure.Kind {
 	case FailureNotRun:
 		p.replica.shed()
+		p.replica.failed()
 	case FailureTimeout:
 		p.replica.slow(now-p.since, now)
 	case FailureNoSnapshot:
+	case FailureMisdirected:
+		p.replica.leave("another upstream has its address", now)
 	case FailureLost:
 		p.replica.down = true
 		p.replica.fail(now)
--- a/core/prober.go
+++ b/core/prober.go
@@ -12,7 +12,7 @@
 type Prober struct {
 	clock  Clock
 	fleet  *Fleet
-	client UpstreamClient
+	client ProbeClient
 	wake   chan struct{}
 
 	mu    sync.Mutex
@@ -26,7 +26,7 @@
 }
 
 // NewProber returns a prober of the fleet's upstreams.
-func NewProber(clock Clock, fleet *Fleet, client UpstreamClient) *Prober {
+func NewProber(clock Clock, fleet *Fleet, client ProbeClient) *Prober {
 	return &Prober{
 		clock:  clock,
 		fleet:  fleet,
--- a/core/publications.go
+++ b/core/publications.go
@@ -33,6 +33,27 @@
 	Read(ctx context.Context, key string, after uint64, wait Millis) (Published, error)
 }
 
+// ReadCadence says how often the platform is read.
+type ReadCadence struct {
+	// Wait is how long a watch waits at the platform for a change, and Pause the
+	// time between two watches of one value.
+	Wait  Millis
+	Pause Millis
+	// RetryMin and RetryMax are the first and the longest pause after failures.
+	RetryMin Millis
+	RetryMax Millis
+}
+
+// DefaultCadence spares a platform whose reads are scarce.
+func DefaultCadence() ReadCadence {
+	return ReadCadence{
+		Wait:     WatchWaitMillis,
+		Pause:    WatchPauseMillis,
+		RetryMin: PlatformRetryMinMillis,
+		RetryMax: PlatformRetryMaxMillis,
+	}
+}
+
 // PublicationsParts are what the reader of the platform is built from.
 type PublicationsParts struct {
 	Clock    Clock
@@ -40,6 +61,7 @@
 	Store    *Store
 	Peers    *Peers
 	Counters *Counters
+	Cadence  ReadCadence
 	Log      logr.Logger
 }
 
@@ -73,25 +95,25 @@
 // follow keeps one value current.
 func (p *Publications) follow(ctx context.Context, key string) {
 	var revision uint64
-	pause := PlatformRetryMinMillis
+	pause := p.Cadence.RetryMin
 	for ctx.Err() == nil {
 		if !p.due(key) {
-			_ = p.Clock.Sleep(ctx, jitter(PlatformRetryMinMillis))
+			_ = p.Clock.Sleep(ctx, jitter(p.Cadence.RetryMin))
 			continue
 		}
-		wait := WatchWaitMillis
+		wait := p.Cadence.Wait
 		if !p.tried(key) || !p.Peers.Reader() {
 			wait = 0
 		}
 		published, err := p.read(ctx, key, revision, wait)
 		if err != nil {
 			_ = p.Clock.Sleep(ctx, jitter(pause))
-			pause = min(2*pause, PlatformRetryMaxMillis)
+			pause = min(2*pause, p.Cadence.RetryMax)
 			continue
 		}
-		pause = PlatformRetryMinMillis
+		pause = p.Cadence.RetryMin
 		revision = published.Revision
-		_ = p.Clock.Sleep(ctx, jitter(WatchPauseMillis))
+		_ = p.Clock.Sleep(ctx, jitter(p.Cadence.Pause))
 	}
 }
 
@@ -128,17 +150,23 @@
 		p.Counters.Add(CountPlatformFailures, 1)
 		return Published{}, err
 	}
-	p.Store.HeardPlatform(0)
+	p.Store.ReadPlatform()
 	if published.Revision != after {
 		p.offer(key, published)
 	}
 	return published, nil
 }
 
-// Refresh reads the instance list at once.
+// Refresh reads all values at once.
 func (p *Publications) Refresh(ctx context.Context) error {
-	_, err := p.read(ctx, KeyInstances, 0, 0)
-	return err
+	var group errgroup.Group
+	for _, key := range []string{KeyConfiguration, KeyInstances} {
+		group.Go(func() error {
+			_, err := p.read(ctx, key, 0, 0)
+			return err
+		})
+	}
+	return group.Wait()
 }
 
 func (p *Publications) offer(key string, published Published) {
--- a/core/replica.go
+++ b/core/replica.go
@@ -6,6 +6,7 @@
 type replica struct {
 	upstream Upstream
 	service  string
+	health   string
 	slots    int
 	share    int
 
@@ -31,13 +32,16 @@
 	// probeFailures counts failed probes since the upstream was last heard.
 	probeFailures int
 
+	// errorRate is the part of late attempts that failed.
+	errorRate float64
+
 	failures     int
 	ejections    int
 	ejectedUntil Millis
 }
 
 func newReplica(service Service, upstream Upstream, share int) *replica {
-	r := &replica{upstream: upstream, service: service.Name}
+	r := &replica{upstream: upstream, service: service.Name, health: service.HealthPath}
 	r.resize(service.Slots, share)
 	return r
 }
@@ -54,6 +58,9 @@
 		Address: r.upstream.Address,
 		Service: r.service,
 		Lanes:   r.share,
+
+		HealthPath:  r.health,
+		Incarnation: r.incarnation,
 	}
 }
 
@@ -142,9 +149,19 @@
 	return r.inFlight < r.capacity()
 }
 
+// expectedLatency returns the latency to expect now. What is known of a slow
+// replica counts for less the longer it has not been used, down to calm, the
+// usual latency of its service.
+func (r *replica) expectedLatency(calm float64, now Millis) float64 {
+	if calm == 0 || r.latency <= calm {
+		return r.latency
+	}
+	return calm + (r.latency-calm)*math.Exp2(-float64(now-r.usedAt)/float64(LatencyHalfLifeMillis))
+}
+
 // score estimates the time that a request would take here; less is better.
-func (r *replica) score(zone string, now Millis) float64 {
-	score := max(r.latency, 1) * float64(r.inFlight+1)
+func (r *replica) score(zone string, calm float64, now Millis) float64 {
+	score := max(r.expectedLatency(calm, now), 1) * float64(r.inFlight+1) * (1 + ErrorPenalty*r.errorRate)
 	if r.upstream.Zone == zone {
 		score *= LocalBias
 	}
@@ -163,6 +180,7 @@
 	}
 	r.latency += weight * (float64(latency) - r.latency)
 	r.usedAt = now
+	r.errorRate -= ErrorWeight * r.errorRate
 	r.failures = 0
 	r.ejections = 0
 	r.limit = min(float64(r.share), r.limit+LimitIncrease)
@@ -180,13 +198,37 @@
 	r.usedAt = now
 }
 
+// heard records that the upstream replied.
+func (r *replica) heard(now Millis) {
+	r.heardAt = now
+	r.down = false
+	r.probeFailures = 0
+}
+
+// silent records that an attempt has waited without a reply. An upstream that
+// was not heard at all meanwhile gets no requests until a probe reaches it.
+func (r *replica) silent(since Millis) bool {
+	if r.heardAt > since || r.unreachable() {
+		return false
+	}
+	r.down = true
+	r.probeFailures = max(r.probeFailures, 1)
+	return true
+}
+
 // shed lowers the concurrency limit after the upstream refused for want of room.
 func (r *replica) shed() {
 	r.limit = max(1, r.limit*LimitDecrease)
 }
 
+// failed raises the rate of errors.
+func (r *replica) failed() {
+	r.errorRate += ErrorWeight * (1 - r.errorRate)
+}
+
 // fail counts a failure and ejects the replica after several in a row.
 func (r *replica) fail(now Millis) {
+	r.failed()
 	r.failures++
 	if r.failures < EjectAfterFailures {
 		return
--- a/core/request.go
+++ b/core/request.go
@@ -60,6 +60,7 @@
 	ReasonUnknownCollection Reason = "unknownCollection"
 	ReasonUnknownKind       Reason = "unknownKind"
 	ReasonWrongMode         Reason = "wrongMode"
+	ReasonUnknownRoute      Reason = "unknownRoute"
 	ReasonDeadlinePassed    Reason = "deadlinePassed"
 	ReasonDuplicateID       Reason = "duplicateRequestId"
 	ReasonOverloaded        Reason = "overloaded"
--- a/core/store.go
+++ b/core/store.go
@@ -44,6 +44,7 @@
 	refusals  []Refusal
 	conflicts int
 	heardAt   Millis
+	readAt    Millis
 	onConfig  []func(Configuration)
 	onList    []func(InstanceList)
 	wake      []chan struct{}
@@ -187,6 +188,21 @@
 	s.heardAt = max(s.heardAt, s.clock.Now()-age)
 }
 
+// ReadPlatform records that this instance has read the platform now.
+func (s *Store) ReadPlatform() {
+	s.HeardPlatform(0)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readAt = s.clock.Now()
+}
+
+// ReadAge returns how long ago this instance last read the platform itself.
+func (s *Store) ReadAge() Millis {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.clock.Now() - s.readAt
+}
+
 // PlatformAge returns how long ago the platform was last heard, directly or
 // through peers.
 func (s *Store) PlatformAge() Millis {
--- a/io/platform/client.go
+++ b/io/configservice/client.go
@@ -1,6 +1,6 @@
-// Package platform reads what operators publish: it speaks HTTP to the
+// Package configservice reads what operators publish: it speaks HTTP to the
 // platform's configuration service and decodes the published documents.
-package platform
+package configservice
 
 import (
 	"context"
--- a/io/platform/platform_test.go
+++ b/io/configservice/platform_test.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 import (
 	"context"
--- a/io/operator/settings.go
+++ b/io/operator/settings.go
@@ -17,6 +17,17 @@
 	maxDrainMillis     = 5 * core.Minute
 )
 
+// Interface is what an instance speaks with callers and upstreams.
+type Interface string
+
+// The interfaces of an instance.
+const (
+	// InterfaceCollections is the project's own: queries on collections.
+	InterfaceCollections Interface = "collections"
+	// InterfaceRoutes passes opaque requests on along routes, on the users' platform.
+	InterfaceRoutes Interface = "routes"
+)
+
 // Settings are what one process learns at its start.
 type Settings struct {
 	Instance string
@@ -36,7 +47,14 @@
 	Peers []string
 	// Drain is how long a stopping instance goes on serving, so that the
 	// balancer notices that it is not ready any more.
-	Drain    core.Millis
+	Drain core.Millis
+	// Stop is how long a planned stop may take before the process is killed.
+	Stop      core.Millis
+	Interface Interface
+	// ReadyAddress is where the balancer asks for readiness, for InterfaceRoutes.
+	ReadyAddress string
+	// Repeats limits repeated requests to upstreams, for InterfaceRoutes.
+	Repeats  core.AllowanceLimit
 	LogLevel string
 	Policy   core.Policy
 }
@@ -55,6 +73,8 @@
 		OperatorAddress: root.Field("operatorAddress").Address(),
 		PlatformAddress: root.Field("platformAddress").Address(),
 		Drain:           core.Millis(root.Field("drainMillis").IntOr(0, int64(maxDrainMillis), int64(defaultDrainMillis))),
+		Stop:            core.Millis(root.Field("stopMillis").IntOr(0, int64(core.MaxTimeoutMillis), int64(core.MaxTimeoutMillis))),
+		Interface:       InterfaceCollections,
 		LogLevel:        "info",
 	}
 	settings.ListenPeerAddress = settings.PeerAddress
@@ -67,6 +87,13 @@
 	for _, item := range root.Field("peers").Items(0) {
 		settings.Peers = append(settings.Peers, item.Address())
 	}
+	if choice := root.Field("interface"); choice.Present() {
+		settings.Interface = Interface(choice.OneOf(string(InterfaceCollections), string(InterfaceRoutes)))
+	}
+	if settings.Interface == InterfaceRoutes {
+		settings.ReadyAddress = root.Field("readyAddress").Address()
+		settings.Repeats = readRepeats(root.Field("repeats"))
+	}
 	if level := root.Field("logLevel"); level.Present() {
 		settings.LogLevel = level.OneOf(levelNames()...)
 	}
@@ -80,6 +107,19 @@
 	return settings, nil
 }
 
+// maxRepeats bounds the figures of the limit on repeats.
+const maxRepeats = 1_000_000
+
+func readRepeats(node *jsondoc.Node) core.AllowanceLimit {
+	limit := core.AllowanceLimit{
+		Ratio:  node.Field("ratio").Float(0, 1),
+		Slack:  node.Field("slack").Float(0, maxRepeats),
+		Window: core.Millis(node.Field("windowMillis").Int(1, int64(core.MaxTimeoutMillis))),
+	}
+	node.Close()
+	return limit
+}
+
 func readPolicy(node *jsondoc.Node) core.Policy {
 	policy := core.Policy{
 		NoHedge:       node.Field("noHedge").BoolOr(false),
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -23,6 +23,11 @@
 		SeenIncarnation:      message.SeenIncarnation,
 		SeenSequence:         message.SeenSequence,
 		Wants:                message.Wants,
+		ReadAgeMillis:        int64(message.ReadAge),
+	}
+	for _, known := range message.Known {
+		wire.Known = append(wire.Known, &peerpb.KnownInstance{
+			Instance: toInstance(known.Info), AgeMillis: int64(known.Age)})
 	}
 	for _, fact := range message.Facts {
 		wire.Facts = append(wire.Facts, toFact(fact))
@@ -43,6 +48,11 @@
 		SeenIncarnation:      wire.GetSeenIncarnation(),
 		SeenSequence:         wire.GetSeenSequence(),
 		Wants:                wire.GetWants(),
+		ReadAge:              max(0, core.Millis(wire.GetReadAgeMillis())),
+	}
+	for _, known := range wire.GetKnown() {
+		message.Known = append(message.Known, core.KnownPeer{
+			Info: fromInstance(known.GetInstance()), Age: max(0, core.Millis(known.GetAgeMillis()))})
 	}
 	if message.From.Name == "" || message.From.Address == "" || message.From.Incarnation == 0 {
 		return core.Exchange{}, ErrMalformed
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -3,51 +3,46 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 
 	"acaciavane/core"
 )
 
 // Client implements core.UpstreamClient.
 type Client struct {
-	clock  core.Clock
-	dialer *net.Dialer
+	clock    core.Clock
+	dialer   *net.Dialer
+	counters *core.Counters
 
 	mu    sync.Mutex
-	lanes map[string]*pool
-}
-
-type pool struct {
-	target core.Target
-	lanes  *lanes
+	lanes map[string]*lanes
 }
 
 // New returns a client without connections, which it will make with the dialer.
-func New(clock core.Clock, dialer *net.Dialer) *Client {
-	return &Client{clock: clock, dialer: dialer, lanes: map[string]*pool{}}
+func New(clock core.Clock, dialer *net.Dialer, counters *core.Counters) *Client {
+	return &Client{clock: clock, dialer: dialer, counters: counters, lanes: map[string]*lanes{}}
 }
 
 func (c *Client) lanesOf(target core.Target) *lanes {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known, ok := c.lanes[target.Name]
-	if ok && known.target == target {
-		return known.lanes
+	if ok && known.target.Address == target.Address {
+		if known.target.Lanes != target.Lanes {
+			known.target = target
+			known.resize(target.Lanes)
+		}
+		return known
 	}
 	if ok {
-		known.lanes.close()
+		known.close()
 	}
-	fresh := newLanes(c.clock, c.dialer, max(1, target.Lanes))
-	c.lanes[target.Name] = &pool{target: target, lanes: fresh}
+	fresh := newLanes(c.clock, c.dialer, target)
+	c.lanes[target.Name] = fresh
 	return fresh
 }
 
@@ -57,7 +52,7 @@
 	defer c.mu.Unlock()
 	for name, known := range c.lanes {
 		if !names.Has(name) {
-			known.lanes.close()
+			known.close()
 			delete(c.lanes, name)
 		}
 	}
@@ -148,146 +143,51 @@
 	return badReply("the reply has no known outcome")
 }
 
-func badReply(detail string) *core.AttemptError {
-	return &core.AttemptError{Kind: core.FailureBadReply, Detail: detail}
-}
-
-// post sends one request on one lane. The lane's connection is used again only
-// after a whole reply that check accepts, or that proves the request was not run.
+// post sends one request and decodes the reply, which check must accept.
 func (c *Client) post(ctx context.Context, target core.Target, path string, body, reply any, check func() error) error {
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		return &core.AttemptError{Kind: core.FailureNotSent, Detail: "encode request", Cause: err}
 	}
-	lanes := c.lanesOf(target)
-	lane, err := lanes.take(ctx)
-	if err != nil {
-		return &core.AttemptError{Kind: core.FailureNotSent, Detail: "no free connection", Cause: err}
-	}
-	err = c.roundTrip(ctx, lane, target, path, encoded, reply)
-	if err == nil {
-		err = check()
-	}
-	if reusable(err) {
-		lane.open.Store(true)
-		lanes.put(lane)
-	} else {
-		lanes.replace(lane)
-	}
-	return err
-}
-
-func reusable(err error) bool {
-	if err == nil {
-		return true
+	request := Request{
+		Method: http.MethodPost,
+		Target: path,
+		Host:   target.Address,
+		Fields: []core.Field{{Name: "Content-Type", Value: "application/json"}},
+		Body:   encoded,
 	}
-	var failure *core.AttemptError
-	return errors.As(err, &failure) &&
-		(failure.Kind == core.FailureNotRun || failure.Kind == core.FailureNoSnapshot)
-}
-
-func (c *Client) roundTrip(ctx context.Context, lane *lane, target core.Target, path string, body []byte, reply any) error {
-	var sent atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		WroteHeaderField: func(string, []string) { sent.Store(true) },
-		WroteHeaders:     func() { sent.Store(true) },
+	_, err = c.Exchange(ctx, target, request, nil, func(response Response) error {
+		if err := json.Unmarshal(response.Body, reply); err != nil {
+			return &core.AttemptError{Kind: core.FailureBadReply, Detail: "decode reply", Cause: err}
+		}
+		return check()
 	})
-	request, err := http.NewRequestWithContext(traced, http.MethodPost, "http://"+target.Address+path, bytes.NewReader(body))
-	if err != nil {
-		return &core.AttemptError{Kind: core.FailureNotSent, Detail: "build request", Cause: err}
-	}
-	// Without GetBody the transport can't send the request a second time.
-	request.GetBody = nil
-	request.Header.Set("Content-Type", "application/json")
-	response, err := lane.transport.RoundTrip(request)
-	if err != nil {
-		return transportError(ctx, sent.Load(), err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(response.Body, core.MaxReplyBytes+1))
-	if err != nil {
-		return transportError(ctx, true, err)
-	}
-	if len(raw) > core.MaxReplyBytes {
-		return badReply("the reply is too large")
-	}
-	if err := json.Unmarshal(raw, reply); err != nil {
-		return &core.AttemptError{Kind: core.FailureBadReply, Detail: "decode reply", Cause: err}
-	}
-	return nil
-}
-
-func transportError(ctx context.Context, sent bool, err error) error {
-	switch {
-	case !sent:
-		return &core.AttemptError{Kind: core.FailureNotSent, Detail: "connect", Cause: err}
-	case ctx.Err() != nil:
-		return &core.AttemptError{Kind: core.FailureTimeout, Detail: "wait for reply", Cause: err}
-	}
-	return &core.AttemptError{Kind: core.FailureLost, Detail: "connection broke", Cause: err}
+	return err
 }
 
-// Probe implements core.UpstreamClient. It asks on one free lane, and on each
-// lane that has no open connection yet.
+// Probe implements core.UpstreamClient. It opens the connections that are not
+// open yet, and asks on one of them.
 func (c *Client) Probe(ctx context.Context, target core.Target) (core.UpstreamStatus, error) {
 	lanes := c.lanesOf(target)
-	free := lanes.takeFree()
-	if len(free) == 0 {
+	if len(lanes.room) == 0 {
 		return core.UpstreamStatus{}, &core.AttemptError{Kind: core.FailureNotSent, Detail: "probe", Cause: core.ErrNoFreeConnection}
 	}
-	results := make(chan probeResult, len(free))
-	asked := 0
-	for i, lane := range free {
-		if i > 0 && lane.open.Load() {
-			lanes.put(lane)
-			continue
-		}
-		asked++
-		go func() { results <- c.probeLane(ctx, lanes, lane, target) }()
-	}
-	var last probeResult
-	for range asked {
-		last = <-results
-		if last.err == nil {
-			return last.status, nil
+	lanes.warm(ctx, target.Lanes)
+	var status Status
+	request := Request{Method: http.MethodGet, Target: PathStatus, Host: target.Address}
+	_, err := c.Exchange(ctx, target, request, nil, func(response Response) error {
+		if err := json.Unmarshal(response.Body, &status); err != nil {
+			return &core.AttemptError{Kind: core.FailureBadReply, Detail: "decode status", Cause: err}
 		}
-	}
-	return core.UpstreamStatus{}, last.err
-}
-
-type probeResult struct {
-	status core.UpstreamStatus
-	err    error
-}
-
-func (c *Client) probeLane(ctx context.Context, lanes *lanes, lane *lane, target core.Target) probeResult {
-	status, err := getStatus(ctx, lane, target)
+		return nil
+	})
 	if err != nil {
-		lanes.replace(lane)
-		return probeResult{err: err}
+		return core.UpstreamStatus{}, err
 	}
-	lane.open.Store(true)
-	lanes.put(lane)
-	return probeResult{status: status}
+	return fromStatus(status), nil
 }
 
-func getStatus(ctx context.Context, lane *lane, target core.Target) (core.UpstreamStatus, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+target.Address+PathStatus, nil)
-	if err != nil {
-		return core.UpstreamStatus{}, &core.AttemptError{Kind: core.FailureNotSent, Detail: "build probe", Cause: err}
-	}
-	response, err := lane.transport.RoundTrip(request)
-	if err != nil {
-		return core.UpstreamStatus{}, &core.AttemptError{Kind: core.FailureLost, Detail: "probe", Cause: err}
-	}
-	defer func() { _ = response.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(response.Body, core.MaxReplyBytes))
-	if err != nil {
-		return core.UpstreamStatus{}, &core.AttemptError{Kind: core.FailureLost, Detail: "probe", Cause: err}
-	}
-	var status Status
-	if err := json.Unmarshal(raw, &status); err != nil {
-		return core.UpstreamStatus{}, &core.AttemptError{Kind: core.FailureBadReply, Detail: "decode status", Cause: err}
-	}
-	return fromStatus(status), nil
+// Warm opens connections to an upstream until count are open.
+func (c *Client) Warm(ctx context.Context, target core.Target, count int) {
+	c.lanesOf(target).warm(ctx, count)
 }
--- /dev/null
+++ b/io/upstream/exchange.go
@@ -0,0 +1,184 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"acaciavane/core"
+)
+
+// maxForeignReplies is how many replies to other requests are passed over on a
+// connection before it is given up.
+const maxForeignReplies = 2
+
+// Request is one HTTP request as it is sent to an upstream.
+type Request struct {
+	Method string
+	// Target is the path with its query, sent byte for byte.
+	Target string
+	Host   string
+	Fields []core.Field
+	Body   []byte
+}
+
+// Response is a whole HTTP reply of an upstream.
+type Response struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// encode returns the request's bytes.
+func (r Request) encode() []byte {
+	raw := make([]byte, 0, 512+len(r.Body))
+	raw = append(raw, r.Method...)
+	raw = append(raw, ' ')
+	raw = append(raw, r.Target...)
+	raw = append(raw, " HTTP/1.1\r\nHost: "...)
+	raw = append(raw, r.Host...)
+	raw = append(raw, "\r\n"...)
+	for _, field := range r.Fields {
+		raw = append(raw, field.Name...)
+		raw = append(raw, ": "...)
+		raw = append(raw, field.Value...)
+		raw = append(raw, "\r\n"...)
+	}
+	if len(r.Body) > 0 || (r.Method != http.MethodGet && r.Method != http.MethodHead) {
+		raw = append(raw, "Content-Length: "...)
+		raw = strconv.AppendInt(raw, int64(len(r.Body)), 10)
+		raw = append(raw, "\r\n"...)
+	}
+	raw = append(raw, "\r\n"...)
+	return append(raw, r.Body...)
+}
+
+// Exchange sends a request on one connection and returns the whole reply to it.
+// own tells a reply to this request from one to another, which is passed over;
+// check refuses a reply that can't be used. The connection is used again only
+// after a reply that check accepts, or that proves that the request was not run.
+// Errors are *core.AttemptError.
+func (c *Client) Exchange(ctx context.Context, target core.Target, request Request, own func(http.Header) bool, check func(Response) error) (Response, error) {
+	lanes := c.lanesOf(target)
+	lane, err := lanes.take(ctx)
+	if err != nil {
+		return Response{}, err
+	}
+	started := c.clock.Now()
+	response, keep, err := c.roundTrip(ctx, lane, request, own)
+	if err == nil {
+		err = check(response)
+	}
+	if keep && reusable(err) {
+		lane.usedAt = c.clock.Now()
+		lane.served++
+		lanes.put(lane)
+		return response, err
+	}
+	lanes.discard(lane)
+	if silenced(err) {
+		lanes.dropIdleSince(started)
+	}
+	return response, err
+}
+
+// silenced reports whether the upstream neither replied nor broke the connection.
+func silenced(err error) bool {
+	var failure *core.AttemptError
+	return errors.As(err, &failure) && failure.Kind == core.FailureTimeout
+}
+
+func reusable(err error) bool {
+	if err == nil {
+		return true
+	}
+	var failure *core.AttemptError
+	return errors.As(err, &failure) &&
+		(failure.Kind == core.FailureNotRun || failure.Kind == core.FailureNoSnapshot || failure.Kind == core.FailureError)
+}
+
+// roundTrip writes the request and reads replies until its own one is in. keep
+// says whether the connection is sound for another request.
+func (c *Client) roundTrip(ctx context.Context, lane *lane, request Request, own func(http.Header) bool) (Response, bool, error) {
+	stop := context.AfterFunc(ctx, func() { _ = lane.conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	written, err := lane.conn.Write(request.encode())
+	if err != nil {
+		if written == 0 {
+			return Response{}, false, &core.AttemptError{Kind: core.FailureNotSent, Detail: "write request", Cause: err}
+		}
+		return Response{}, false, exchangeError(ctx, "write request", err)
+	}
+	for range maxForeignReplies + 1 {
+		response, keep, err := lane.read(ctx, request.Method)
+		if err != nil {
+			return Response{}, false, err
+		}
+		if own == nil || own(response.Header) {
+			return response, keep && stop(), nil
+		}
+		c.counters.Add(core.CountForeignReplies, 1)
+		if !keep {
+			break
+		}
+	}
+	return Response{}, false, badReply("the connection carries replies to other requests")
+}
+
+// read returns the next final reply on the connection. keep says whether another
+// request may follow: more bytes than the reply belong to no request.
+func (l *lane) read(ctx context.Context, method string) (Response, bool, error) {
+	head, err := l.readHead(ctx, method)
+	if err != nil {
+		return Response{}, false, err
+	}
+	defer func() { _ = head.Body.Close() }()
+	body, err := readBody(head)
+	if err != nil {
+		return Response{}, false, exchangeError(ctx, "read reply", err)
+	}
+	if len(body) > core.MaxReplyBytes {
+		return Response{}, false, badReply("the reply is too large")
+	}
+	l.noteKeepAlive(head.Header.Get("Keep-Alive"))
+	response := Response{Status: head.StatusCode, Header: head.Header, Body: body}
+	return response, !head.Close && l.reader.Buffered() == 0, nil
+}
+
+// readHead returns the head of the next reply that is not an interim one.
+func (l *lane) readHead(ctx context.Context, method string) (*http.Response, error) {
+	for {
+		head, err := http.ReadResponse(l.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, exchangeError(ctx, "read reply", err)
+		}
+		if head.StatusCode >= http.StatusOK || head.StatusCode == http.StatusSwitchingProtocols {
+			return head, nil
+		}
+	}
+}
+
+func readBody(head *http.Response) ([]byte, error) {
+	if head.ContentLength >= 0 && head.ContentLength <= core.MaxReplyBytes {
+		body := make([]byte, head.ContentLength)
+		_, err := io.ReadFull(head.Body, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(head.Body, core.MaxReplyBytes+1))
+}
+
+// exchangeError classifies an error after bytes of the request may have left.
+func exchangeError(ctx context.Context, detail string, err error) error {
+	if ctx.Err() != nil {
+		return &core.AttemptError{Kind: core.FailureTimeout, Detail: detail, Cause: fmt.Errorf("%w: %w", ctx.Err(), err)}
+	}
+	return &core.AttemptError{Kind: core.FailureLost, Detail: detail, Cause: err}
+}
+
+func badReply(detail string) *core.AttemptError {
+	return &core.AttemptError{Kind: core.FailureBadReply, Detail: detail}
+}
--- a/io/upstream/lanes.go
+++ b/io/upstream/lanes.go
@@ -1,80 +1,165 @@
 package upstream
 
 import (
+	"bufio"
 	"context"
 	"net"
-	"net/http"
+	"strconv"
+	"strings"
 	"sync"
-	"sync/atomic"
 
 	"acaciavane/core"
 )
 
 const (
-	// settleMillis is how long a closed connection is left before its lane opens
-	// another, so that the upstream never counts both.
+	// settleMillis is how long a closed connection is left before another is
+	// opened in its place, so that the upstream never counts both.
 	settleMillis = 20 * core.Millis(1)
+	// keepAliveMarginMillis is how long before the end of the idle time that an
+	// upstream announces a connection is given up: a request and its way.
+	keepAliveMarginMillis = 300 * core.Millis(1)
+	// maxLanes bounds the connections to one upstream, whatever it allows.
+	maxLanes = 1024
+	// readBufferBytes holds a small reply with its head.
+	readBufferBytes = 2048
 )
 
-// lane is one connection to an upstream, opened again when it was closed.
+// lane is one connection to an upstream. It carries one request at a time.
 type lane struct {
-	transport *http.Transport
-	open      atomic.Bool
+	conn   net.Conn
+	reader *bufio.Reader
+	// usedAt is when the last reply on it was whole.
+	usedAt core.Millis
+	// idleLimit is how long the upstream keeps the connection open without a
+	// request, or zero where it does not say.
+	idleLimit core.Millis
+	// served counts the replies so far.
+	served int
 }
 
-func newLane(dialer *net.Dialer) *lane {
-	return &lane{transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     1,
-		MaxIdleConnsPerHost: 1,
-		DisableCompression:  true,
-	}}
+// noteKeepAlive takes in a Keep-Alive header of the form "timeout=SECONDS, max=N".
+func (l *lane) noteKeepAlive(value string) {
+	for _, parameter := range strings.Split(value, ",") {
+		name, number, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if seconds, err := strconv.ParseUint(number, 10, 16); err == nil {
+			l.idleLimit = core.Millis(seconds) * core.Second
+		}
+	}
+}
+
+// fresh reports whether the upstream is expected to keep the connection open
+// long enough for one more request.
+func (l *lane) fresh(now core.Millis) bool {
+	if l.idleLimit == 0 {
+		return true
+	}
+	return now-l.usedAt < max(l.idleLimit/2, l.idleLimit-keepAliveMarginMillis)
 }
 
-// close closes the connection once no request uses it.
 func (l *lane) close() {
-	l.open.Store(false)
-	l.transport.CloseIdleConnections()
+	_ = l.conn.Close()
 }
 
 // lanes are all connections of the instance to one upstream.
 type lanes struct {
-	clock core.Clock
-	free  chan *lane
+	clock  core.Clock
+	dialer *net.Dialer
+	target core.Target
+	// room holds a token for each connection that may yet be in use.
+	room chan struct{}
 
-	mu     sync.Mutex
+	mu   sync.Mutex
+	idle []*lane
+	// limit is the most connections that may be in use, and excess is how many
+	// are in use above it since it was lowered.
+	limit  int
+	excess int
 	closed bool
 }
 
-func newLanes(clock core.Clock, dialer *net.Dialer, count int) *lanes {
-	l := &lanes{clock: clock, free: make(chan *lane, count)}
-	for range count {
-		l.free <- newLane(dialer)
-	}
+func newLanes(clock core.Clock, dialer *net.Dialer, target core.Target) *lanes {
+	l := &lanes{clock: clock, dialer: dialer, target: target, room: make(chan struct{}, maxLanes)}
+	l.resize(target.Lanes)
 	return l
 }
 
-// take waits for a lane that no request uses.
+// resize sets how many connections may be in use.
+func (l *lanes) resize(limit int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit = min(max(1, limit), maxLanes)
+	for ; l.limit < limit; l.limit++ {
+		l.release()
+	}
+	for ; l.limit > limit; l.limit-- {
+		select {
+		case <-l.room:
+		default:
+			l.excess++
+		}
+	}
+}
+
+// release makes room for one connection. The caller holds the lock.
+func (l *lanes) release() {
+	if l.excess > 0 {
+		l.excess--
+		return
+	}
+	l.room <- struct{}{}
+}
+
+func (l *lanes) giveBack() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.release()
+}
+
+// take waits until a connection may be used, and returns the idle one that was
+// used last or a new one. Its errors are *core.AttemptError.
 func (l *lanes) take(ctx context.Context) (*lane, error) {
 	select {
-	case lane := <-l.free:
-		return lane, nil
+	case <-l.room:
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return nil, &core.AttemptError{Kind: core.FailureNotSent, Detail: "no free connection", Cause: ctx.Err()}
 	}
+	if lane := l.takeIdle(); lane != nil {
+		return lane, nil
+	}
+	lane, err := l.dial(ctx)
+	if err != nil {
+		l.giveBack()
+		return nil, err
+	}
+	return lane, nil
 }
 
-// takeFree returns all lanes that no request uses.
-func (l *lanes) takeFree() []*lane {
-	var free []*lane
-	for {
-		select {
-		case lane := <-l.free:
-			free = append(free, lane)
-		default:
-			return free
+// takeIdle returns an idle connection that can be expected to be sound.
+func (l *lanes) takeIdle() *lane {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.clock.Now()
+	for len(l.idle) > 0 {
+		last := len(l.idle) - 1
+		lane := l.idle[last]
+		l.idle = l.idle[:last]
+		if lane.fresh(now) && silent(lane.conn) {
+			return lane
 		}
+		lane.close()
+	}
+	return nil
+}
+
+func (l *lanes) dial(ctx context.Context) (*lane, error) {
+	conn, err := l.dialer.DialContext(ctx, "tcp", l.target.Address)
+	if err != nil {
+		return nil, &core.AttemptError{Kind: core.FailureNotSent, Detail: "connect", Cause: err}
 	}
+	return &lane{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), usedAt: l.clock.Now()}, nil
 }
 
 // put gives back a lane whose connection may be used again.
@@ -83,26 +168,68 @@
 	defer l.mu.Unlock()
 	if l.closed {
 		lane.close()
-		return
+	} else {
+		l.idle = append(l.idle, lane)
 	}
-	l.free <- lane
+	l.release()
 }
 
-// replace closes the lane's connection and gives the lane back after a pause.
-func (l *lanes) replace(lane *lane) {
+// discard closes the lane's connection and makes room for another after a pause.
+func (l *lanes) discard(lane *lane) {
 	lane.close()
 	go func() {
 		_ = l.clock.Sleep(context.Background(), settleMillis)
-		l.put(lane)
+		l.giveBack()
 	}()
 }
 
+// dropIdleSince closes the idle connections that were last used before the given
+// time. An upstream that fell silent may have forgotten all of them.
+func (l *lanes) dropIdleSince(before core.Millis) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	kept := l.idle[:0]
+	for _, lane := range l.idle {
+		if lane.usedAt < before {
+			lane.close()
+			continue
+		}
+		kept = append(kept, lane)
+	}
+	l.idle = kept
+}
+
+// warm opens connections until the given number is open or in use.
+func (l *lanes) warm(ctx context.Context, count int) {
+	for range count - l.open() {
+		select {
+		case <-l.room:
+		default:
+			return
+		}
+		lane, err := l.dial(ctx)
+		if err != nil {
+			l.giveBack()
+			return
+		}
+		l.put(lane)
+	}
+}
+
+// open returns how many connections are idle or in use.
+func (l *lanes) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.idle) + l.limit + l.excess - len(l.room)
+}
+
 // close closes all connections, those in use at the end of their request.
 func (l *lanes) close() {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.closed = true
-	l.mu.Unlock()
-	for _, lane := range l.takeFree() {
+	for _, lane := range l.idle {
 		lane.close()
 	}
+	l.idle = nil
 }
--- a/standin/control.go
+++ b/standin/control.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"acaciavane/io/platform"
+	"acaciavane/io/configservice"
 )
 
 // ledgerLine is one run, written before the run starts.
@@ -84,7 +84,7 @@
 	})
 	mux.HandleFunc("PUT /control/configuration/{name}", func(w http.ResponseWriter, r *http.Request) {
 		raw, _ := io.ReadAll(r.Body)
-		configuration, err := platform.NewDecoder().Configuration(raw)
+		configuration, err := configservice.NewDecoder().Configuration(raw)
 		if err != nil {
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -19,7 +19,7 @@
 	"github.com/spf13/cobra"
 
 	"acaciavane/core"
-	"acaciavane/io/platform"
+	"acaciavane/io/configservice"
 	"acaciavane/io/upstream"
 )
 
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	configuration, err := platform.NewDecoder().ConfigurationFile(options.configuration, raw)
+	configuration, err := configservice.NewDecoder().ConfigurationFile(options.configuration, raw)
 	if err != nil {
 		return err
 	}
