Take instances that are behind, and zones that are silent, out of use

Change: a lag meter that makes an instance refuse early and say it is not ready; silence is concluded only from timers that fire on time; many late attempts with nothing heard from a zone count as a cut; local replicas are preferred more; watches wait 2.5 s; SIGHUP rereads the settings.

--- a/cli/entry.go
+++ b/cli/entry.go
@@ -71,6 +71,7 @@
 	if err != nil {
 		return err
 	}
+	server.reloader = &reloader{instance: server.instance, level: level, file: options.settings, raw: raw}
 	signalled, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	return server.run(signalled)
@@ -83,9 +84,10 @@
 	metrics  *operator.Metrics
 	callers  *http.Server
 	// ready is set for an instance whose balancer asks at an address of its own.
-	ready *http.Server
-	admin *http.Server
-	peers *peer.Server
+	ready    *http.Server
+	admin    *http.Server
+	peers    *peer.Server
+	reloader *reloader
 }
 
 func newEntryServer(settings operator.Settings, log logr.Logger, level *operator.LogLevel) (*entryServer, error) {
@@ -132,6 +134,7 @@
 		return err
 	}
 	group.Go(func() error { return s.instance.run(tasks) })
+	group.Go(func() error { return s.reloader.run(tasks) })
 	s.log.Info("instance started", "zone", s.instance.self.Zone, "incarnation", s.instance.self.Incarnation)
 	var err error
 	select {
--- a/cli/instance.go
+++ b/cli/instance.go
@@ -229,6 +229,7 @@
 	group.Go(func() error { return i.prober.Run(ctx) })
 	if i.routes != nil {
 		group.Go(func() error { return i.routes.run(ctx) })
+		group.Go(func() error { return i.routes.lag.Run(ctx) })
 	}
 	return group.Wait()
 }
--- a/cli/routes.go
+++ b/cli/routes.go
@@ -26,8 +26,8 @@
 // time to be in force that a connection to it fell silent.
 func routesCadence() core.ReadCadence {
 	return core.ReadCadence{
-		Wait:     core.Second,
-		Pause:    20,
+		Wait:     2500,
+		Pause:    150,
 		RetryMin: 100,
 		RetryMax: 500,
 	}
@@ -39,6 +39,7 @@
 	roster    *core.Roster
 	allowance *core.Allowance
 	upstreams *platform.Upstreams
+	lag       *core.LagMeter
 	router    *core.Router
 
 	mu            sync.Mutex
@@ -53,6 +54,7 @@
 		roster:    core.NewRoster(i.clock),
 		allowance: core.NewAllowance(i.clock, i.settings.Repeats, 1),
 		upstreams: platform.NewUpstreams(i.clock, client),
+		lag:       core.NewLagMeter(i.clock),
 		size:      1,
 	}
 }
@@ -66,6 +68,7 @@
 		Client:    r.upstreams,
 		Allowance: r.allowance,
 		Pause:     i.pause,
+		Lag:       r.lag,
 		Counters:  i.counters,
 		Log:       i.log,
 	})
--- a/core/allowance.go
+++ b/core/allowance.go
@@ -51,6 +51,13 @@
 	a.instances = max(1, instances)
 }
 
+// SetLimit changes the limit.
+func (a *Allowance) SetLimit(limit AllowanceLimit) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.limit = limit
+}
+
 // window returns the service's window, moved up to now.
 func (a *Allowance) window(service string) *allowanceWindow {
 	w, ok := a.services[service]
--- a/core/constants.go
+++ b/core/constants.go
@@ -130,7 +130,7 @@
 	// LatencyWindow is how many latencies a service keeps for its quantiles.
 	LatencyWindow = 512
 	// LocalBias multiplies the score of replicas in the instance's own zone.
-	LocalBias = 0.9
+	LocalBias = 0.7
 	// SlowStartMillis is how long a fresh replica gets less than its share.
 	SlowStartMillis = 2 * Second
 	// SlowStartFactor multiplies the score of a replica at its start.
@@ -183,6 +183,17 @@
 	// go on, so that its connection can be kept. It is longer than the pauses of
 	// upstreams and shorter than callers that left are to be worked for.
 	LoserGraceMillis = 250 * Millis(1)
+	// OverloadRefuseFactor times the latency objective is the lag of the process
+	// above which requests are refused: another instance answers them sooner.
+	OverloadRefuseFactor = 0.3
+	// TimerSlackMillis is how late a timer may fire for conclusions from it to
+	// hold: a process that is behind has not read the replies that are there.
+	TimerSlackMillis = 25 * Millis(1)
+	// ZoneSilentAttempts is how many attempts at upstreams of one zone must be
+	// late, with nothing heard from that zone, for all of it to count as cut off.
+	ZoneSilentAttempts = 8
+	// ZoneSilentMillis is how long nothing may have been heard then.
+	ZoneSilentMillis = 40 * Millis(1)
 	// RetrySoonMillis is when to come back after a refusal that another instance
 	// may not repeat.
 	RetrySoonMillis = 20 * Millis(1)
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -46,7 +46,9 @@
 		return RoutedReply{}, failure
 	}
 	clock := d.router.Clock
-	hedge := time.NewTimer(d.router.paces.hedgeAfter(d.route).Duration())
+	started := clock.Now()
+	hedgeAfter := d.router.paces.hedgeAfter(d.route)
+	hedge := time.NewTimer(hedgeAfter.Duration())
 	defer hedge.Stop()
 	silence := time.NewTimer(SilentAfterMillis.Duration())
 	defer silence.Stop()
@@ -63,10 +65,17 @@
 			}
 			return result.reply, result.failure
 		case <-hedge.C:
-			d.late()
+			if clock.Since(started)-hedgeAfter < TimerSlackMillis {
+				d.late()
+			}
 			d.hedge(ctx)
 		case <-silence.C:
-			d.silent()
+			if clock.Since(started)-SilentAfterMillis < TimerSlackMillis {
+				d.silent()
+			}
+			if d.hopeless() {
+				return RoutedReply{}, &AttemptError{Kind: FailureTimeout, Detail: "no upstream of " + d.service + " is heard"}
+			}
 		case <-ctx.Done():
 			return RoutedReply{}, &AttemptError{Kind: FailureTimeout, Detail: "wait for " + d.service, Cause: ctx.Err()}
 		}
@@ -199,6 +208,12 @@
 	}
 }
 
+// hopeless reports whether the request may be abandoned at this service: no
+// upstream of it can be reached, and the answer can do without it.
+func (d *dispatch) hopeless() bool {
+	return d.route.Scattered() && d.router.Fleet.ReachableServices([]string{d.service}) == 0
+}
+
 // silent takes upstreams that were not heard at all out of use until they are.
 func (d *dispatch) silent() {
 	for permit := range d.running {
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -26,6 +26,14 @@
 	mu       sync.Mutex
 	services map[string]*service
 	replicas map[string]*replica
+	zones    map[string]*zoneView
+}
+
+// zoneView is what is known of the way to one zone.
+type zoneView struct {
+	heardAt Millis
+	// late counts the attempts that were late since the zone was last heard.
+	late int
 }
 
 type service struct {
@@ -67,6 +75,44 @@
 		notify:   notify,
 		services: map[string]*service{},
 		replicas: map[string]*replica{},
+		zones:    map[string]*zoneView{},
+	}
+}
+
+// zoneOf returns the view of a replica's zone. The caller holds the lock.
+func (f *Fleet) zoneOf(r *replica) *zoneView {
+	zone, ok := f.zones[r.upstream.Zone]
+	if !ok {
+		zone = &zoneView{}
+		f.zones[r.upstream.Zone] = zone
+	}
+	return zone
+}
+
+// heard records that a replica replied. The caller holds the lock.
+func (f *Fleet) heard(r *replica, now Millis) {
+	r.heard(now)
+	zone := f.zoneOf(r)
+	zone.heardAt, zone.late = now, 0
+}
+
+// late records that an attempt is late. When many are, and nothing is heard from
+// their zone, its replicas get no requests until a probe reaches them. The caller
+// holds the lock.
+func (f *Fleet) late(r *replica, since, now Millis) {
+	zone := f.zoneOf(r)
+	if zone.heardAt >= since {
+		return
+	}
+	zone.late++
+	if zone.late < ZoneSilentAttempts || now-zone.heardAt < ZoneSilentMillis {
+		return
+	}
+	zone.late = 0
+	for _, other := range f.replicas {
+		if other.upstream.Zone == r.upstream.Zone {
+			other.silent(now)
+		}
 	}
 }
 
@@ -163,6 +209,9 @@
 	}
 	wasLeaving := r.phase == PhaseLeaving && r.incarnation == status.Incarnation
 	r.observe(status, source, f.clock.Now())
+	if source == sourceUpstream {
+		f.heard(r, f.clock.Now())
+	}
 	leaves := r.phase == PhaseLeaving && !wasLeaving
 	if s, ok := f.services[r.service]; ok {
 		f.grant(s)
--- a/core/peers.go
+++ b/core/peers.go
@@ -80,6 +80,7 @@
 
 // NewPeers returns a view that knows the seeds only.
 func NewPeers(parts PeersParts) *Peers {
+	parts.Seeds = slices.Clone(parts.Seeds)
 	p := &Peers{PeersParts: parts, peers: map[string]*peerState{}, tasks: map[string]peerTask{}}
 	for _, address := range parts.Seeds {
 		if address != parts.Self.Address {
@@ -89,6 +90,21 @@
 	return p
 }
 
+// AddSeeds adds peers to ask.
+func (p *Peers) AddSeeds(addresses []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, address := range addresses {
+		if address == p.Self.Address || slices.Contains(p.Seeds, address) {
+			continue
+		}
+		p.Seeds = append(p.Seeds, address)
+		if _, ok := p.peers[address]; !ok {
+			p.peers[address] = &peerState{address: address}
+		}
+	}
+}
+
 // Run keeps a task for each linked peer until ctx ends.
 func (p *Peers) Run(ctx context.Context) error {
 	var group errgroup.Group
--- a/core/permit.go
+++ b/core/permit.go
@@ -48,7 +48,7 @@
 	latency := now - p.since
 	f.mu.Lock()
 	p.replica.succeed(latency, now)
-	p.replica.heard(now)
+	f.heard(p.replica, now)
 	f.mu.Unlock()
 	p.Release()
 	return latency
@@ -59,7 +59,7 @@
 	f := p.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p.replica.heard(f.clock.Now())
+	f.heard(p.replica, f.clock.Now())
 }
 
 // Silent records that the attempt has waited long, and reports whether the
@@ -110,6 +110,7 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	p.replica.slow(now-p.since, now)
+	f.late(p.replica, p.since, now)
 }
 
 // Release gives the room back. Further calls do nothing.
--- a/core/router.go
+++ b/core/router.go
@@ -16,6 +16,7 @@
 	Client    RoutedClient
 	Allowance *Allowance
 	Pause     *PauseGuard
+	Lag       *LagMeter
 	Counters  *Counters
 	Log       logr.Logger
 }
@@ -46,9 +47,13 @@
 	return int(r.inFlight.Load())
 }
 
-// Serviceable reports whether some route with shards could be answered now, or
-// there is none.
+// Serviceable reports whether more callers had better come here: the process keeps
+// up with its work, and some route with shards could be answered now, or there is
+// none.
 func (r *Router) Serviceable() bool {
+	if r.Lag.Overloaded() {
+		return false
+	}
 	table := r.table.Load()
 	if table == nil {
 		return false
@@ -98,7 +103,9 @@
 	}
 	deadline -= ReplyMarginMillis
 	var answer RoutedAnswer
-	switch {
+	switch lag := r.Lag.Lag(); {
+	case lag > OverloadRefuseFactor*float64(route.Objective):
+		answer = refuseRouted(ReasonOverloaded, RetrySoonMillis, "this instance is %.0f ms behind", lag)
 	case deadline <= r.Clock.Now():
 		answer = refuseRouted(ReasonDeadlinePassed, 0, "the deadline has passed")
 	case route.Scattered():
@@ -108,6 +115,7 @@
 	}
 	answer.Route = route.Name
 	answer.ConfigurationVersion = table.version
+	answer.MoveOn = answer.MoveOn || r.Lag.Overloaded()
 	return answer
 }
 
