--- a/cli/routes.go
+++ b/cli/routes.go
@@ -16,7 +16,7 @@
 	rosterTick = 250 * core.Millis(1)
 	// routesExchangeInterval is the pause between two exchanges with one peer:
 	// peers only help out where the store turns an instance away.
-	routesExchangeInterval = core.Second
+	routesExchangeInterval = 2 * core.Second
 	// routesReadersPerZone lets every instance of today's deployments watch the
 	// store: its rate allows for it, and a change is in force soonest.
 	routesReadersPerZone = 8
@@ -27,7 +27,7 @@
 func routesCadence() core.ReadCadence {
 	return core.ReadCadence{
 		Wait:     2500,
-		Pause:    150,
+		Pause:    400,
 		RetryMin: 100,
 		RetryMax: 500,
 	}
--- a/core/constants.go
+++ b/core/constants.go
@@ -130,7 +130,7 @@
 	// LatencyWindow is how many latencies a service keeps for its quantiles.
 	LatencyWindow = 512
 	// LocalBias multiplies the score of replicas in the instance's own zone.
-	LocalBias = 0.7
+	LocalBias = 0.4
 	// SlowStartMillis is how long a fresh replica gets less than its share.
 	SlowStartMillis = 2 * Second
 	// SlowStartFactor multiplies the score of a replica at its start.
