Let a shard wait for room until the answer is closed

Cause: in a cut zone a shard was given up after a fifth of the objective without room, though the answer waits for other shards longer than that.

--- a/core/router.go
+++ b/core/router.go
@@ -154,8 +154,12 @@
 	return RoutedAnswer{Outcome: OutcomeUnknown, Reason: ReasonConnectionLost, Detail: failure.Error()}
 }
 
-// roomPatience returns until when a request may wait for room at an upstream.
+// roomPatience returns until when a request may wait for room at an upstream. One
+// shard of several may wait until the answer is closed without it.
 func (r *Router) roomPatience(route Route, deadline Millis) Millis {
+	if route.Scattered() {
+		return min(deadline, r.Clock.Now()+route.Objective-CloseMarginMillis)
+	}
 	return min(deadline, r.Clock.Now()+max(1, Millis(RoomWaitFactor*float64(route.Objective))))
 }
 
