--- a/cli/instance.go
+++ b/cli/instance.go
@@ -33,6 +33,7 @@
 	quarantine   *core.Quarantine
 	budget       *core.Budget
 	pause        *core.PauseGuard
+	lag          *core.LagMeter
 	prober       *core.Prober
 	peers        *core.Peers
 	publications *core.Publications
@@ -62,11 +63,12 @@
 		},
 	}
 	i.facts = core.NewFactLog(clock)
-	settings.Policy.ProbeSuspectsOnly = settings.Interface == operator.InterfaceRoutes
 	i.fleet = core.NewFleet(clock, settings.Zone, settings.Policy, i.tellFact)
 	i.quarantine = core.NewQuarantine(clock, i.tellFact)
 	i.budget = core.NewBudget(core.ExtraLoadShare, core.ExtraLoadBurst)
 	i.pause = core.NewPauseGuard(clock, i.counters, i.renewView)
+	i.lag = core.NewLagMeter(clock)
+	i.pause.OnTick(i.lag.Observe)
 	i.wirePublished()
 	i.wireRequests()
 	if i.routes != nil {
@@ -226,10 +228,11 @@
 	group.Go(func() error { return i.pause.Run(ctx) })
 	group.Go(func() error { return i.peers.Run(ctx) })
 	group.Go(func() error { return i.publications.Run(ctx) })
-	group.Go(func() error { return i.prober.Run(ctx) })
-	if i.routes != nil {
+	if i.routes == nil {
+		group.Go(func() error { return i.prober.Run(ctx) })
+	} else {
+		group.Go(func() error { return i.prober.RunSuspects(ctx) })
 		group.Go(func() error { return i.routes.run(ctx) })
-		group.Go(func() error { return i.routes.lag.Run(ctx) })
 	}
 	return group.Wait()
 }
--- a/cli/routes.go
+++ b/cli/routes.go
@@ -39,7 +39,6 @@
 	roster    *core.Roster
 	allowance *core.Allowance
 	upstreams *platform.Upstreams
-	lag       *core.LagMeter
 	router    *core.Router
 
 	mu            sync.Mutex
@@ -54,7 +53,6 @@
 		roster:    core.NewRoster(i.clock),
 		allowance: core.NewAllowance(i.clock, i.settings.Repeats, 1),
 		upstreams: platform.NewUpstreams(i.clock, client),
-		lag:       core.NewLagMeter(i.clock),
 		size:      1,
 	}
 }
@@ -68,7 +66,7 @@
 		Client:    r.upstreams,
 		Allowance: r.allowance,
 		Pause:     i.pause,
-		Lag:       r.lag,
+		Lag:       i.lag,
 		Counters:  i.counters,
 		Log:       i.log,
 	})
@@ -111,7 +109,7 @@
 		}
 		i.fleet.ObserveListed(member.Name, member.Incarnation, phase)
 	}
-	i.prober.Wake()
+	i.prober.Retain()
 }
 
 // run drops upstreams whose grace is over and follows the number of instances.
--- a/core/constants.go
+++ b/core/constants.go
@@ -39,6 +39,8 @@
 	// ProbeReturnMillis is the pause between two probes of an upstream that gets
 	// no requests.
 	ProbeReturnMillis = 250 * Millis(1)
+	// SuspectScanMillis is the interval at which suspects are looked for.
+	SuspectScanMillis = 100 * Millis(1)
 	// UnreachableAfterProbes is how many failed probes in a row make an upstream
 	// unreachable without any failed request.
 	UnreachableAfterProbes = 2
--- a/core/engine.go
+++ b/core/engine.go
@@ -18,8 +18,6 @@
 	RandomReplica bool
 	// NoGate admits every request.
 	NoGate bool
-	// ProbeSuspectsOnly probes only upstreams that fell silent or broke a connection.
-	ProbeSuspectsOnly bool
 }
 
 // EngineParts are what an engine is built from.
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -462,6 +462,20 @@
 	return ok && len(f.eligible(s, Want{Collection: collection, Snapshot: snapshot})) > 0
 }
 
+// Suspects returns the upstreams that fell silent or broke a connection and were
+// not heard since.
+func (f *Fleet) Suspects() []Target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var suspects []Target
+	for _, r := range f.replicas {
+		if r.phase == PhaseLive && (r.down || r.probeFailures > 0) {
+			suspects = append(suspects, r.target())
+		}
+	}
+	return suspects
+}
+
 // ProbePause returns how long to wait before the upstream is considered for the
 // next probe: less while it gets no requests, so that its return is seen soon.
 func (f *Fleet) ProbePause(name string) Millis {
@@ -515,9 +529,6 @@
 	if !ok {
 		return false
 	}
-	if f.policy.ProbeSuspectsOnly {
-		return r.phase == PhaseLive && (r.down || r.probeFailures > 0)
-	}
 	return r.down || !r.routable() || f.clock.Since(r.heardAt) >= ProbeIntervalMillis
 }
 
--- a/core/lag.go
+++ b/core/lag.go
@@ -1,15 +1,10 @@
 package core
 
-import (
-	"context"
-	"sync"
-)
+import "sync"
 
 const (
-	// lagTick is the interval of the timer whose lateness is measured.
-	lagTick = 25 * Millis(1)
 	// lagWeight is the weight of one reading.
-	lagWeight = 0.3
+	lagWeight = 0.4
 	// OverloadLagMillis is the lateness of the process's own timers from which it
 	// counts as overloaded.
 	OverloadLagMillis = 15.0
@@ -19,7 +14,7 @@
 )
 
 // LagMeter measures how far the process is behind with its own work, by how late
-// a timer fires.
+// a timer fires. A pause guard feeds it.
 type LagMeter struct {
 	clock Clock
 
@@ -34,17 +29,6 @@
 	return &LagMeter{clock: clock}
 }
 
-// Run measures until ctx ends.
-func (m *LagMeter) Run(ctx context.Context) error {
-	due := m.clock.Now() + lagTick
-	for m.clock.Sleep(ctx, lagTick) == nil {
-		now := m.clock.Now()
-		m.Observe(now - due)
-		due = now + lagTick
-	}
-	return nil
-}
-
 // Observe takes in how late a timer fired. A suspension of the process is no lag.
 func (m *LagMeter) Observe(lateness Millis) {
 	if lateness > PauseThresholdMillis {
--- a/core/pause.go
+++ b/core/pause.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // PauseGuard notices that the process was suspended, by a gap on its clock, and
@@ -11,6 +12,8 @@
 	clock    Clock
 	renew    func(ctx context.Context)
 	counters *Counters
+	// late is told how late each tick was, unless it is nil.
+	late func(Millis)
 
 	mu       sync.Mutex
 	lastTick Millis
@@ -23,13 +26,29 @@
 	return &PauseGuard{clock: clock, renew: renew, counters: counters, lastTick: clock.Now()}
 }
 
+// OnTick registers a function that is told how late each tick was. It must be
+// called before Run.
+func (g *PauseGuard) OnTick(late func(Millis)) {
+	g.late = late
+}
+
 // Run checks the clock until ctx ends.
 func (g *PauseGuard) Run(ctx context.Context) error {
+	ticker := time.NewTicker(PauseTickMillis.Duration())
+	defer ticker.Stop()
+	last := g.clock.Now()
 	for {
 		g.tick(ctx, true)
-		if err := g.clock.Sleep(ctx, PauseTickMillis); err != nil {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
 			return nil
 		}
+		now := g.clock.Now()
+		if g.late != nil {
+			g.late(now - last - PauseTickMillis)
+		}
+		last = now
 	}
 }
 
--- a/core/prober.go
+++ b/core/prober.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 )
@@ -58,6 +59,49 @@
 	}
 }
 
+// RunSuspects probes only the upstreams that are suspected to be unreachable,
+// until ctx ends.
+func (p *Prober) RunSuspects(ctx context.Context) error {
+	var group errgroup.Group
+	probing := map[string]bool{}
+	done := make(chan string)
+	ticker := time.NewTicker(SuspectScanMillis.Duration())
+	defer ticker.Stop()
+	for {
+		for _, target := range p.fleet.Suspects() {
+			if probing[target.Name] || target.Lanes < 1 {
+				continue
+			}
+			probing[target.Name] = true
+			group.Go(func() error {
+				p.probe(ctx, target)
+				_ = p.clock.Sleep(ctx, jitter(ProbeReturnMillis))
+				select {
+				case done <- target.Name:
+				case <-ctx.Done():
+				}
+				return nil
+			})
+		}
+		select {
+		case name := <-done:
+			delete(probing, name)
+		case <-ticker.C:
+		case <-ctx.Done():
+			return group.Wait()
+		}
+	}
+}
+
+// Retain closes the connections to upstreams that the fleet does not name.
+func (p *Prober) Retain() {
+	names := NewSet[string]()
+	for _, target := range p.fleet.Targets() {
+		names.Add(target.Name)
+	}
+	p.client.Retain(names)
+}
+
 func (p *Prober) reconcile(ctx context.Context, group *errgroup.Group) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
