--- a/core/constants.go
+++ b/core/constants.go
@@ -175,9 +175,9 @@
 	// arrivals included.
 	MaxArrivals = 4
 	// CloseMarginMillis is how long before its latency objective an answer is
-	// closed that could do without the missing shards: the way to the caller and
-	// back, and as much again for callers that open a connection.
-	CloseMarginMillis = 12 * Millis(1)
+	// closed that could do without the missing shards: the way to a caller 3 ms
+	// away and back, twice for one that opens a connection, and the merging.
+	CloseMarginMillis = 16 * Millis(1)
 	// RoomWaitFactor times the latency objective is how long a request may wait
 	// for room at an upstream before it is refused.
 	RoomWaitFactor = 0.2
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,6 +27,9 @@
 	arrivals int
 	runs     int
 	results  chan routedResult
+	// sent is set once an attempt was given to an upstream. Unlike the other
+	// fields it may be read while the dispatch runs.
+	sent atomic.Bool
 }
 
 // routedResult is the end of one attempt.
@@ -101,6 +105,7 @@
 	d.arrivals++
 	d.runs++
 	d.running[permit] = struct{}{}
+	d.sent.Store(true)
 	d.router.Counters.Add(CountAttempts, 1)
 	go func() { d.results <- d.send(permit) }()
 	return nil
--- a/core/router.go
+++ b/core/router.go
@@ -198,7 +198,7 @@
 	}
 	if merged, ok := answer.Merged.Get(); ok && merged.Missing > 0 {
 		r.Counters.Add(CountPartial, 1)
-		r.story(request, "answered in part", "route", answer.Route, "missing", merged.Missing,
+		r.story(request, "answered in part", "route", answer.Route, "missing", merged.Missing, "shards", answer.Detail,
 			"configuration", answer.ConfigurationVersion, "elapsedMillis", int64(r.Clock.Since(request.Arrived)))
 	}
 	if answer.Outcome != OutcomeAnswered {
--- a/core/scatter.go
+++ b/core/scatter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 )
 
 // scatter is one request that all shards of a route answer.
@@ -12,11 +13,13 @@
 	request  RoutedRequest
 	deadline Millis
 
-	parts    []Part
-	failed   int
-	arrivals int
-	runs     int
-	last     *AttemptError
+	dispatches []*dispatch
+	parts      []Part
+	answered   Set[string]
+	failed     int
+	arrivals   int
+	runs       int
+	last       *AttemptError
 }
 
 // shardResult is the end of one shard's dispatch.
@@ -33,7 +36,7 @@
 		return refuseRouted(ReasonNoUpstream, RetrySoonMillis,
 			"%d of %d shards can be reached, %d are needed", reachable, len(route.Shards), least)
 	}
-	s := &scatter{router: r, route: route, request: request, deadline: deadline}
+	s := &scatter{router: r, route: route, request: request, deadline: deadline, answered: NewSet[string]()}
 	work, release := r.workContext(ctx)
 	defer release()
 	waiting, cancel := r.Clock.WithDeadline(work, deadline)
@@ -52,6 +55,7 @@
 			router: s.router, route: s.route, request: s.request, service: service, deadline: s.deadline,
 			patience: patience, work: work,
 		}
+		s.dispatches = append(s.dispatches, d)
 		go func() {
 			reply, failure := d.run(waiting)
 			results <- shardResult{dispatch: d, reply: reply, failure: failure}
@@ -99,6 +103,7 @@
 		s.last = result.failure
 		return
 	}
+	s.answered.Add(result.dispatch.service)
 	s.parts = append(s.parts, Part{
 		Service:   result.dispatch.service,
 		Signature: result.reply.Signature,
@@ -106,6 +111,29 @@
 	})
 }
 
+// maxNamedShards bounds how many missing shards are named in a log line.
+const maxNamedShards = 5
+
+// missing names shards that are not in, and whether an upstream was given the
+// request for them.
+func (s *scatter) missing() []string {
+	var names []string
+	for _, d := range s.dispatches {
+		if s.answered.Has(d.service) {
+			continue
+		}
+		if len(names) == maxNamedShards {
+			return append(names, "...")
+		}
+		state := ":waiting"
+		if d.sent.Load() {
+			state = ":sent"
+		}
+		names = append(names, d.service+state)
+	}
+	return names
+}
+
 // conclude returns the answer that follows from the parts that are in.
 func (s *scatter) conclude() RoutedAnswer {
 	missing := len(s.route.Shards) - len(s.parts)
@@ -118,6 +146,7 @@
 		return RoutedAnswer{
 			Outcome:  OutcomeAnswered,
 			Merged:   Some(MergedReply{Signatures: signatures, Missing: missing, Records: MergeTop(s.parts, s.route.Top)}),
+			Detail:   strings.Join(s.missing(), " "),
 			Attempts: s.arrivals,
 		}
 	}
