Log decisions without blocking; a replica without room costs the wait for it

Cause: lines went to standard error, one write each, without a limit; nothing said when the store, a peer or an upstream was lost. TestFleet found that a request waited for a full local replica though the other one had room, since local ones are preferred more. Change: a queue and one writing task, a limit for each kind of line, lines for each dependency lost or regained, readiness with its reason, latency by outcome and reason.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -75,7 +75,7 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError(err.Error()) })
-	root.AddCommand(newEntryCommand(stderr), newCheckCommand(stdout), newDumpCommand(stdout), newQueryCommand(stdout), newVersionCommand(stdout))
+	root.AddCommand(newEntryCommand(stdout), newCheckCommand(stdout), newDumpCommand(stdout), newQueryCommand(stdout), newVersionCommand(stdout))
 	return root
 }
 
--- a/cli/entry.go
+++ b/cli/entry.go
@@ -31,7 +31,7 @@
 	handOverTimeout = 2 * time.Second
 )
 
-func newEntryCommand(stderr io.Writer) *cobra.Command {
+func newEntryCommand(stdout io.Writer) *cobra.Command {
 	var options entryOptions
 	command := &cobra.Command{
 		Use:   "entry",
@@ -47,14 +47,14 @@
 			if err := options.validate(); err != nil {
 				return err
 			}
-			return runEntry(command.Context(), stderr, options)
+			return runEntry(command.Context(), stdout, options)
 		},
 	}
 	options.bind(command)
 	return command
 }
 
-func runEntry(ctx context.Context, stderr io.Writer, options entryOptions) error {
+func runEntry(ctx context.Context, stdout io.Writer, options entryOptions) error {
 	raw, err := os.ReadFile(options.settings)
 	if err != nil {
 		return fmt.Errorf("read settings: %w", err)
@@ -63,7 +63,9 @@
 	if err != nil {
 		return err
 	}
-	log, level, err := operator.NewLog(stderr, settings.Instance, settings.LogLevel)
+	output := operator.NewLogWriter(stdout)
+	defer output.Close()
+	log, level, err := operator.NewLog(output, settings.Instance, settings.LogLevel)
 	if err != nil {
 		return err
 	}
@@ -93,7 +95,7 @@
 func newEntryServer(settings operator.Settings, log logr.Logger, level *operator.LogLevel) (*entryServer, error) {
 	i := newInstance(settings, log)
 	metrics, err := operator.NewMetrics(i.counters, operator.Gauges{
-		InFlight: i.engine.InFlight,
+		InFlight: i.inFlight,
 		ConfigurationVersion: func() uint64 {
 			inForce, _ := i.store.Current()
 			return inForce.Configuration.Version
@@ -108,6 +110,7 @@
 	handler := http.Handler(nil)
 	var ready *http.Server
 	if i.routes != nil {
+		i.routes.router.Observe = metrics.ObserveRouted
 		handler, ready = i.routes.callers(), i.routes.serveReady()
 	} else {
 		handler = caller.New(i.clock, settings.Instance, i, i.counters, metrics.Observe, uuid.NewString, log).Handler()
--- a/cli/instance.go
+++ b/cli/instance.go
@@ -45,6 +45,8 @@
 	routes   *routes
 	leaving  atomic.Bool
 	wasReady atomic.Bool
+	// unreadiness is the last reason for not being ready that was logged.
+	unreadiness atomic.Pointer[string]
 }
 
 func newInstance(settings operator.Settings, log logr.Logger) *instance {
@@ -64,6 +66,7 @@
 	}
 	i.facts = core.NewFactLog(clock)
 	i.fleet = core.NewFleet(clock, settings.Zone, settings.Policy, i.tellFact)
+	i.fleet.OnChange(i.logUpstream)
 	i.quarantine = core.NewQuarantine(clock, i.tellFact)
 	i.budget = core.NewBudget(core.ExtraLoadShare, core.ExtraLoadBurst)
 	i.pause = core.NewPauseGuard(clock, i.counters, i.renewView)
@@ -141,6 +144,7 @@
 		Facts:    i.facts,
 		Counters: i.counters,
 		Apply:    i.applyFact,
+		Log:      i.log,
 
 		ReadersPerZone:   sources.readersPerZone,
 		ExchangeInterval: sources.exchangeInterval,
@@ -177,6 +181,16 @@
 	i.orders = core.NewOrders(i.engine, i.peerClient, home, i.self.Address, i.tellFact)
 }
 
+// logUpstream writes down that an upstream went in or out of use.
+func (i *instance) logUpstream(change core.UpstreamChange) {
+	event := "upstream out of use"
+	if change.InUse {
+		event = "upstream in use"
+	}
+	i.log.Info(event, "upstream", change.Name, "service", change.Service, "zone", change.Zone,
+		"incarnation", change.Incarnation, "cause", change.Cause, "heardMillisAgo", int64(i.clock.Since(change.HeardAt)))
+}
+
 // tellFact records what this instance saw, so that its peers are told.
 func (i *instance) tellFact(fact core.Fact) {
 	if i.facts.Merge(fact) {
@@ -264,10 +278,28 @@
 
 // readyForMore is what the balancer is told.
 func (i *instance) readyForMore() bool {
-	if i.routes != nil && !i.routes.router.Serviceable() {
-		return false
+	reason := i.unready()
+	if before := i.unreadiness.Swap(&reason); before == nil || *before != reason {
+		i.log.Info("readiness changed", "ready", reason == "", "reason", reason, "lagMillis", i.lag.Lag())
+	}
+	return reason == ""
+}
+
+// unready returns why no more callers should come here, or nothing.
+func (i *instance) unready() string {
+	switch {
+	case i.leaving.Load():
+		return "leaving"
+	case !i.current():
+		return "starting"
+	case i.routes == nil:
+		return ""
+	case i.lag.Overloaded():
+		return "behind with its work"
+	case !i.routes.router.Serviceable():
+		return "too few shards can be reached"
 	}
-	return i.current() && !i.leaving.Load()
+	return ""
 }
 
 // Query implements caller.Service.
@@ -314,6 +346,14 @@
 	return i.leaving.Load()
 }
 
+// inFlight returns the number of requests that are being answered.
+func (i *instance) inFlight() int {
+	if i.routes != nil {
+		return i.routes.router.InFlight()
+	}
+	return i.engine.InFlight()
+}
+
 // state collects what operators are shown.
 func (i *instance) state() operator.State {
 	inForce, has := i.store.Current()
@@ -325,7 +365,7 @@
 		Ready:            i.readyForMore(),
 		StartedAt:        i.startedAt,
 		Now:              i.clock.Now(),
-		InFlight:         i.engine.InFlight(),
+		InFlight:         i.inFlight(),
 		InForce:          inForce,
 		HasConfiguration: has,
 		Refusals:         refusals,
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -187,6 +187,7 @@
 		return true
 	}
 	d.router.Counters.Add(CountRepeatsRefused, 1)
+	d.router.Log.V(1).Info("repeat not allowed", "request", d.request.ID, "service", d.service, "arrivals", d.arrivals)
 	return false
 }
 
@@ -204,6 +205,7 @@
 		return
 	}
 	d.router.Counters.Add(CountHedges, 1)
+	d.router.Log.V(1).Info("hedged", "request", d.request.ID, "service", d.service)
 }
 
 // late lets the choice of replicas know of attempts that are late.
@@ -222,9 +224,7 @@
 // silent takes upstreams that were not heard at all out of use until they are.
 func (d *dispatch) silent() {
 	for permit := range d.running {
-		if permit.Silent() {
-			d.router.Log.Info("upstream fell silent", "upstream", permit.Target().Name, "service", d.service)
-		}
+		permit.Silent()
 	}
 }
 
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -96,6 +96,9 @@
 	return Configuration{Version: s.version, Digest: s.digest}
 }
 
+// lostAfterFailures is how many failed exchanges in a row make a peer lost.
+const lostAfterFailures = 3
+
 func (p *Peers) noteFailure(address string, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -103,6 +106,9 @@
 		peer.tried = true
 		peer.lastError = err.Error()
 		peer.failuresInRow++
+		if peer.failuresInRow == lostAfterFailures {
+			p.Log.Info("peer lost", "peer", peer.info.Name, "address", address, "error", err.Error())
+		}
 	}
 }
 
@@ -232,6 +238,9 @@
 func (p *Peers) absorb(address string, message Exchange) {
 	p.mu.Lock()
 	if peer, ok := p.peers[address]; ok {
+		if peer.failuresInRow >= lostAfterFailures || peer.info.Incarnation != message.From.Incarnation {
+			p.Log.Info("peer heard", "peer", message.From.Name, "address", address, "incarnation", message.From.Incarnation)
+		}
 		peer.update(message, p.Self.Incarnation, p.Clock.Now())
 	}
 	p.learn(message.Known)
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -22,6 +22,8 @@
 	zone   string
 	policy Policy
 	notify func(Fact)
+	// onChange is told of upstreams that go in and out of use, unless it is nil.
+	onChange func(UpstreamChange)
 
 	mu       sync.Mutex
 	services map[string]*service
@@ -79,6 +81,39 @@
 	}
 }
 
+// UpstreamChange says that an upstream went in or out of use.
+type UpstreamChange struct {
+	Name        string
+	Service     string
+	Zone        string
+	Incarnation uint64
+	InUse       bool
+	// Cause is what made the difference.
+	Cause string
+	// HeardAt is when the upstream was last heard.
+	HeardAt Millis
+}
+
+// OnChange registers a function that is called with each change. It must not call
+// the fleet.
+func (f *Fleet) OnChange(report func(UpstreamChange)) {
+	f.onChange = report
+}
+
+// changed reports whether the replica is in use, if that differs from the last
+// report. The caller holds the lock.
+func (f *Fleet) changed(r *replica, cause string) {
+	inUse := r.routable() && !r.down
+	if f.onChange == nil || inUse == r.reported {
+		return
+	}
+	r.reported = inUse
+	f.onChange(UpstreamChange{
+		Name: r.upstream.Name, Service: r.service, Zone: r.upstream.Zone, Incarnation: r.incarnation,
+		InUse: inUse, Cause: cause, HeardAt: r.heardAt,
+	})
+}
+
 // zoneOf returns the view of a replica's zone. The caller holds the lock.
 func (f *Fleet) zoneOf(r *replica) *zoneView {
 	zone, ok := f.zones[r.upstream.Zone]
@@ -92,6 +127,7 @@
 // heard records that a replica replied. The caller holds the lock.
 func (f *Fleet) heard(r *replica, now Millis) {
 	r.heard(now)
+	f.changed(r, "reply")
 	zone := f.zoneOf(r)
 	zone.heardAt, zone.late = now, 0
 }
@@ -112,6 +148,7 @@
 	for _, other := range f.replicas {
 		if other.upstream.Zone == r.upstream.Zone {
 			other.silent(now)
+			f.changed(other, "zone silent")
 		}
 	}
 }
@@ -190,6 +227,7 @@
 		return
 	}
 	r.probeFailures++
+	f.changed(r, "probe")
 	if s, ok := f.services[r.service]; ok {
 		f.grant(s)
 	}
@@ -212,6 +250,7 @@
 	if source == sourceUpstream {
 		f.heard(r, f.clock.Now())
 	}
+	f.changed(r, source)
 	leaves := r.phase == PhaseLeaving && !wasLeaving
 	if s, ok := f.services[r.service]; ok {
 		f.grant(s)
@@ -391,13 +430,15 @@
 	return &Permit{fleet: f, replica: r, target: r.target(), since: now, want: want}
 }
 
+// expected estimates the time until a reply of the replica. One without room costs
+// the wait for it, too.
 func (f *Fleet) expected(s *service, r *replica, want Want, now Millis) float64 {
 	if f.policy.RandomReplica {
 		return rand.Float64()
 	}
 	score := r.score(f.zone, float64(s.window.quantile(MedianQuantile).Or(0)), now)
 	if !r.hasRoom(want.Exclusive) {
-		score *= float64(1 + len(s.waiters))
+		score *= float64(2 + len(s.waiters))
 	}
 	return score
 }
--- a/core/peers.go
+++ b/core/peers.go
@@ -7,6 +7,7 @@
 	"sync"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
 )
 
@@ -29,6 +30,7 @@
 	Store    *Store
 	Facts    *FactLog
 	Counters *Counters
+	Log      logr.Logger
 	// ReadersPerZone is how many instances of a zone watch the platform.
 	ReadersPerZone int
 	// ExchangeInterval is the pause between two exchanges with one peer.
--- a/core/permit.go
+++ b/core/permit.go
@@ -62,13 +62,14 @@
 	f.heard(p.replica, f.clock.Now())
 }
 
-// Silent records that the attempt has waited long, and reports whether the
-// upstream counts as unreachable now for that reason.
-func (p *Permit) Silent() bool {
+// Silent records that the attempt has waited long without a reply.
+func (p *Permit) Silent() {
 	f := p.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return !p.released && p.replica.silent(p.since)
+	if !p.released && p.replica.silent(p.since) {
+		f.changed(p.replica, "no reply")
+	}
 }
 
 // Fail records a failed attempt and releases the permit.
@@ -93,6 +94,7 @@
 	default:
 		p.replica.fail(now)
 	}
+	f.changed(p.replica, string(failure.Kind))
 	f.mu.Unlock()
 	if status, ok := failure.Status.Get(); ok {
 		f.Observe(p.target.Name, status)
--- a/core/publications.go
+++ b/core/publications.go
@@ -96,6 +96,7 @@
 func (p *Publications) follow(ctx context.Context, key string) {
 	var revision uint64
 	pause := p.Cadence.RetryMin
+	var lost Option[Millis]
 	for ctx.Err() == nil {
 		if !p.due(key) {
 			_ = p.Clock.Sleep(ctx, jitter(p.Cadence.RetryMin))
@@ -106,6 +107,7 @@
 			wait = 0
 		}
 		published, err := p.read(ctx, key, revision, wait)
+		lost = p.noteContact(key, lost, err)
 		if err != nil {
 			_ = p.Clock.Sleep(ctx, jitter(pause))
 			pause = min(2*pause, p.Cadence.RetryMax)
@@ -117,6 +119,21 @@
 	}
 }
 
+// noteContact writes a line when the platform is lost or regained. lost is since
+// when it has been lost; the return value is the same after err.
+func (p *Publications) noteContact(key string, lost Option[Millis], err error) Option[Millis] {
+	since, wasLost := lost.Get()
+	switch {
+	case err != nil && !wasLost:
+		p.Log.Info("platform lost", "key", key, "error", err.Error())
+		return Some(p.Clock.Now())
+	case err == nil && wasLost:
+		p.Log.Info("platform regained", "key", key, "lostMillis", int64(p.Clock.Since(since)))
+		return None[Millis]()
+	}
+	return lost
+}
+
 func jitter(pause Millis) Millis {
 	return pause/2 + Millis(rand.Int64N(int64(pause)))
 }
@@ -181,5 +198,5 @@
 		p.Log.Error(err, "published value refused", "key", key, "revision", published.Revision)
 		return
 	}
-	p.Log.Info("published value read", "key", key, "revision", published.Revision, "newer", taken)
+	p.Log.V(1).Info("published value read", "key", key, "revision", published.Revision, "newer", taken)
 }
--- a/core/replica.go
+++ b/core/replica.go
@@ -38,6 +38,9 @@
 	failures     int
 	ejections    int
 	ejectedUntil Millis
+
+	// reported is whether the last word on the upstream was that it is in use.
+	reported bool
 }
 
 func newReplica(service Service, upstream Upstream, share int) *replica {
--- a/core/router.go
+++ b/core/router.go
@@ -18,7 +18,9 @@
 	Pause     *PauseGuard
 	Lag       *LagMeter
 	Counters  *Counters
-	Log       logr.Logger
+	// Observe is told of each answer and the time that it took, unless it is nil.
+	Observe func(answer RoutedAnswer, elapsed Millis)
+	Log     logr.Logger
 }
 
 // Router answers routed requests: it finds the route, sends the request to the
@@ -47,13 +49,9 @@
 	return int(r.inFlight.Load())
 }
 
-// Serviceable reports whether more callers had better come here: the process keeps
-// up with its work, and some route with shards could be answered now, or there is
-// none.
+// Serviceable reports whether some route with shards could be answered now, or
+// there is none.
 func (r *Router) Serviceable() bool {
-	if r.Lag.Overloaded() {
-		return false
-	}
 	table := r.table.Load()
 	if table == nil {
 		return false
@@ -187,24 +185,30 @@
 	}
 }
 
+// finish counts an answer, and writes a line about one that is not whole or late.
 func (r *Router) finish(request RoutedRequest, answer RoutedAnswer) {
-	switch answer.Outcome {
-	case OutcomeAnswered:
-		r.Counters.Add(CountAnswered, 1)
-	case OutcomeNotRun:
+	elapsed := r.Clock.Since(request.Arrived)
+	if r.Observe != nil {
+		r.Observe(answer, elapsed)
+	}
+	facts := []any{"route", answer.Route, "configuration", answer.ConfigurationVersion,
+		"attempts", answer.Attempts, "elapsedMillis", int64(elapsed)}
+	merged, scattered := answer.Merged.Get()
+	switch {
+	case answer.Outcome == OutcomeNotRun:
 		r.Counters.Add(CountRefused, 1)
-	default:
+		r.story(request, "refused", append(facts, "reason", string(answer.Reason), "detail", answer.Detail,
+			"retryAfterMillis", int64(answer.RetryAfter), "lagMillis", r.Lag.Lag())...)
+	case answer.Outcome != OutcomeAnswered:
 		r.Counters.Add(CountUnknown, 1)
-	}
-	if merged, ok := answer.Merged.Get(); ok && merged.Missing > 0 {
+		r.story(request, "outcome unknown", append(facts, "reason", string(answer.Reason), "detail", answer.Detail)...)
+	case scattered && merged.Missing > 0:
+		r.Counters.Add(CountAnswered, 1)
 		r.Counters.Add(CountPartial, 1)
-		r.story(request, "answered in part", "route", answer.Route, "missing", merged.Missing, "shards", answer.Detail,
-			"configuration", answer.ConfigurationVersion, "elapsedMillis", int64(r.Clock.Since(request.Arrived)))
-	}
-	if answer.Outcome != OutcomeAnswered {
-		r.story(request, "not answered", "route", answer.Route, "outcome", string(answer.Outcome),
-			"reason", string(answer.Reason), "detail", answer.Detail, "attempts", answer.Attempts,
-			"configuration", answer.ConfigurationVersion, "elapsedMillis", int64(r.Clock.Since(request.Arrived)))
+		r.story(request, "answered in part", append(facts, "missing", merged.Missing, "shards", answer.Detail)...)
+	default:
+		r.Counters.Add(CountAnswered, 1)
+		r.Log.V(1).Info("answered", append([]any{"request", request.ID}, facts...)...)
 	}
 }
 
--- a/io/operator/log.go
+++ b/io/operator/log.go
@@ -29,14 +29,15 @@
 	level slog.LevelVar
 }
 
-// NewLog returns a log of JSON lines that starts at the named level.
+// NewLog returns a log of JSON lines that starts at the named level. The lines of
+// each kind are limited.
 func NewLog(to io.Writer, instance, level string) (logr.Logger, *LogLevel, error) {
 	current := &LogLevel{}
 	if err := current.Set(level); err != nil {
 		return logr.Logger{}, nil, err
 	}
 	handler := slog.NewJSONHandler(to, &slog.HandlerOptions{Level: &current.level})
-	return logr.FromSlogHandler(handler).WithValues("instance", instance), current, nil
+	return logr.FromSlogHandler(newLimitedHandler(handler)).WithValues("instance", instance), current, nil
 }
 
 // Set changes the level.
--- a/io/operator/metrics.go
+++ b/io/operator/metrics.go
@@ -112,6 +112,17 @@
 		metric.WithAttributes(attribute.String("outcome", string(answer.Outcome))))
 }
 
+// ObserveRouted records an answer to a routed request. The route is left out, as
+// configurations name new ones without end.
+func (m *Metrics) ObserveRouted(answer core.RoutedAnswer, elapsed core.Millis) {
+	_, merged := answer.Merged.Get()
+	m.latency.Record(context.Background(), elapsed.Duration().Seconds(),
+		metric.WithAttributes(
+			attribute.String("outcome", string(answer.Outcome)),
+			attribute.String("reason", string(answer.Reason)),
+			attribute.Bool("merged", merged)))
+}
+
 // Handler returns the scrape endpoint.
 func (m *Metrics) Handler() http.Handler {
 	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
