--- /dev/null
+++ b/core/allowance_test.go
@@ -0,0 +1,106 @@
+package core
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+func TestAllowance(t *testing.T) {
+	Convey("Given an allowance of a fifth and a slack of 40 for two instances", t, func() {
+		clock := &manualClock{now: Minute}
+		allowance := NewAllowance(clock.clock(), AllowanceLimit{Ratio: 0.2, Slack: 40, Window: 10 * Second}, 2)
+		spend := func(part float64) int {
+			count := 0
+			for allowance.Spend("s", part) {
+				count++
+			}
+			return count
+		}
+		Convey("a quarter of the slack is there without any request", func() {
+			So(spend(1), ShouldEqual, 10)
+		})
+		Convey("each request adds its share", func() {
+			for range 100 {
+				allowance.Earn("s")
+			}
+			So(spend(1), ShouldEqual, 30)
+		})
+		Convey("a use of lower rank leaves a part to the others", func() {
+			for range 100 {
+				allowance.Earn("s")
+			}
+			So(spend(HedgePart), ShouldEqual, 24)
+			So(spend(1), ShouldEqual, 6)
+		})
+		Convey("what was spent is forgotten after the window, not before", func() {
+			spend(1)
+			clock.now += 10 * Second
+			So(spend(1), ShouldEqual, 0)
+			clock.now += Second
+			So(spend(1), ShouldEqual, 10)
+		})
+		Convey("services do not share", func() {
+			spend(1)
+			So(allowance.Spend("other", 1), ShouldBeTrue)
+		})
+		Convey("a refund can be spent again", func() {
+			spend(1)
+			allowance.Refund("s")
+			So(spend(1), ShouldEqual, 1)
+		})
+		Convey("more instances leave each a smaller part of the slack", func() {
+			allowance.Resize(8)
+			So(spend(1), ShouldEqual, 2)
+		})
+	})
+}
+
+// TestAllowancesKeepToTheWindowTogether plays instances with uneven traffic and
+// greedy repeats. In no window of any position may the repeats of all together
+// exceed the limit, whichever instance sent them.
+func TestAllowancesKeepToTheWindowTogether(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const window = 10 * Second
+		limit := AllowanceLimit{Ratio: 0.2, Slack: 52, Window: window}
+		clock := &manualClock{now: Minute}
+		instances := make([]*Allowance, rapid.IntRange(1, 9).Draw(t, "instances"))
+		for i := range instances {
+			instances[i] = NewAllowance(clock.clock(), limit, len(instances))
+		}
+		type event struct {
+			at     Millis
+			repeat bool
+		}
+		var events []event
+		for range rapid.IntRange(10, 120).Draw(t, "steps") {
+			clock.now += Millis(rapid.IntRange(1, 1500).Draw(t, "pause"))
+			allowance := instances[rapid.IntRange(0, len(instances)-1).Draw(t, "instance")]
+			for range rapid.IntRange(0, 60).Draw(t, "requests") {
+				allowance.Earn("s")
+				events = append(events, event{clock.now, false})
+			}
+			for range rapid.IntRange(0, 60).Draw(t, "wish") {
+				if allowance.Spend("s", 1) {
+					events = append(events, event{clock.now, true})
+				}
+			}
+		}
+		for _, end := range events {
+			requests, repeats := 0, 0
+			for _, e := range events {
+				// The requests of a bucket more are counted, which is the grain.
+				if e.at <= end.at && e.at > end.at-window-window/allowanceBuckets && !e.repeat {
+					requests++
+				}
+				if e.at <= end.at && e.at > end.at-window && e.repeat {
+					repeats++
+				}
+			}
+			if allowed := limit.Ratio*float64(requests) + limit.Slack; float64(repeats) > allowed {
+				t.Fatalf("%d repeats of %d requests in a window, %.1f are allowed", repeats, requests, allowed)
+			}
+		}
+	})
+}
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -114,23 +114,24 @@
 		return Response{}, false, exchangeError(ctx, "write request", err)
 	}
 	for range maxForeignReplies + 1 {
-		response, keep, err := lane.read(ctx, request.Method)
+		response, open, err := lane.read(ctx, request.Method)
 		if err != nil {
 			return Response{}, false, err
 		}
 		if own == nil || own(response.Header) {
-			return response, keep && stop(), nil
+			// More bytes than the reply belong to no request.
+			return response, open && lane.reader.Buffered() == 0 && stop(), nil
 		}
 		c.counters.Add(core.CountForeignReplies, 1)
-		if !keep {
+		if !open {
 			break
 		}
 	}
 	return Response{}, false, badReply("the connection carries replies to other requests")
 }
 
-// read returns the next final reply on the connection. keep says whether another
-// request may follow: more bytes than the reply belong to no request.
+// read returns the next final reply on the connection, and whether the upstream
+// keeps the connection open after it.
 func (l *lane) read(ctx context.Context, method string) (Response, bool, error) {
 	head, err := l.readHead(ctx, method)
 	if err != nil {
@@ -146,7 +147,7 @@
 	}
 	l.noteKeepAlive(head.Header.Get("Keep-Alive"))
 	response := Response{Status: head.StatusCode, Header: head.Header, Body: body}
-	return response, !head.Close && l.reader.Buffered() == 0, nil
+	return response, !head.Close, nil
 }
 
 // readHead returns the head of the next reply that is not an interim one.
