Do not call an order not run at an instance that is not ready

Change: such an instance answers that the outcome is unknown; a test without processes failed first.

--- a/io/caller/caller_test.go
+++ b/io/caller/caller_test.go
@@ -99,6 +99,22 @@
 	})
 }
 
+// TestOrdersAtAnInstanceThatIsNotReady covers an order that may have run elsewhere
+// and is sent again to an instance that knows nothing yet: it can't say that the
+// order was not run.
+func TestOrdersAtAnInstanceThatIsNotReady(t *testing.T) {
+	Convey("An order under a ticket has an unknown outcome while the instance is not ready", t, func() {
+		service := &fakeService{}
+		server := newTestServer(service)
+		defer server.Close()
+		ticket := encodeTicket(core.Ticket{Home: core.Home{Instance: "n", Incarnation: 5}, Address: "127.0.0.1:1", Expires: 9})
+		_, answer := post1(server, PathOrders, `{"key": "k", "ticket": "`+ticket+`"}`)
+		So(answer.Outcome, ShouldEqual, string(core.OutcomeUnknown))
+		So(answer.Reason, ShouldEqual, string(core.ReasonNotReady))
+		So(service.asked, ShouldBeEmpty)
+	})
+}
+
 func TestAnswers(t *testing.T) {
 	whole := core.Coverage{Covered: 10, Total: 10}
 	cases := []struct {
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -74,7 +74,7 @@
 func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
 	request, text, refused := s.read(w, r)
 	if answer, ok := refused.Get(); ok {
-		s.reply(w, answer)
+		s.reply(w, s.withoutProof(answer))
 		return
 	}
 	ticket, err := decodeTicket(text)
@@ -85,6 +85,17 @@
 	s.reply(w, s.service.Order(r.Context(), ticket, request))
 }
 
+// withoutProof returns what an instance that is not ready says of an order: it does
+// not know whether an earlier sending of it ran elsewhere.
+func (s *Server) withoutProof(refused core.Answer) core.Answer {
+	if refused.Reason != core.ReasonNotReady {
+		return refused
+	}
+	unknown := core.Unknown(refused.RequestID, refused.Reason, refused.Detail)
+	unknown.Instance = s.instance
+	return unknown
+}
+
 func (s *Server) serveTicket(w http.ResponseWriter, r *http.Request) {
 	if !s.service.Ready() {
 		s.reply(w, s.refuse("", core.ReasonNotReady, "the instance is not ready"))
