--- a/core/router_test.go
+++ b/core/router_test.go
@@ -441,6 +441,8 @@
 		defer leave()
 		f.ask(ctx)
 		synctest.Wait()
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		for _, attempt := range f.sent {
 			if attempt.cancelled != 30 {
 				t.Errorf("attempt at %s was given up at %d ms", attempt.upstream, attempt.cancelled)
@@ -453,6 +455,8 @@
 		f.ask(context.Background())
 		answered := f.since()
 		time.Sleep(time.Second)
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		index := slices.IndexFunc(f.sent, func(a *sentAttempt) bool { return a.upstream == "s0-a" })
 		if at := f.sent[index].cancelled; at != answered+LoserGraceMillis {
 			t.Errorf("answered at %d ms, the late attempt was given up at %d ms", answered, at)
@@ -471,6 +475,8 @@
 			Message: Message{Host: "h", Target: "/p/"},
 		})
 		f.ask(context.Background())
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		want := []Millis{400, 400}
 		for i, limit := range want {
 			if got := f.sent[i].deadline; got > limit {
--- /dev/null
+++ b/io/operator/log_test.go
@@ -0,0 +1,79 @@
+package operator
+
+import (
+	"bytes"
+	"encoding/json"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// stalledOutput takes nothing until it is released.
+type stalledOutput struct {
+	release chan struct{}
+	mu      sync.Mutex
+	buffer  bytes.Buffer
+}
+
+func (o *stalledOutput) Write(p []byte) (int, error) {
+	<-o.release
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buffer.Write(p)
+}
+
+func TestLogWriter(t *testing.T) {
+	Convey("A log whose output nobody reads blocks no writer, and says later what is missing", t, func() {
+		output := &stalledOutput{release: make(chan struct{})}
+		writer := NewLogWriter(output)
+		started := time.Now()
+		const line = "{\"msg\":\"x\"}\n"
+		const held = maxQueuedLines + maxBatchBytes/len(line) + 2
+		const lines = 3 * held
+		for range lines {
+			_, _ = writer.Write([]byte(line))
+		}
+		So(time.Since(started), ShouldBeLessThan, time.Second)
+		So(writer.Dropped(), ShouldBeGreaterThanOrEqualTo, lines-held)
+		close(output.release)
+		writer.Close()
+		written := output.buffer.String()
+		So(strings.Count(written, `"msg":"x"`)+int(writer.Dropped()), ShouldEqual, lines)
+		So(written, ShouldContainSubstring, `"msg":"log lines dropped"`)
+	})
+	Convey("What was written before the end is there after it", t, func() {
+		var output bytes.Buffer
+		writer := NewLogWriter(&output)
+		_, _ = writer.Write([]byte("a\n"))
+		_, _ = writer.Write([]byte("b\n"))
+		writer.Close()
+		So(output.String(), ShouldEqual, "a\nb\n")
+		_, err := writer.Write([]byte("late\n"))
+		So(err, ShouldBeNil)
+	})
+}
+
+func TestLinesAreLimitedByKind(t *testing.T) {
+	Convey("Many lines of one kind are limited, others are not, and the next says how many", t, func() {
+		var output bytes.Buffer
+		log, _, err := NewLog(&output, "n", "info")
+		So(err, ShouldBeNil)
+		for range 10 * lineBurst {
+			log.Info("often", "request", "r")
+		}
+		log.Info("seldom")
+		So(strings.Count(output.String(), `"often"`), ShouldBeBetweenOrEqual, lineBurst, 2*lineBurst)
+		So(output.String(), ShouldContainSubstring, `"seldom"`)
+		time.Sleep(2 * time.Second / linesPerSecond)
+		output.Reset()
+		log.Info("often")
+		var line struct {
+			LeftOut int `json:"leftOut"`
+		}
+		So(json.Unmarshal(output.Bytes(), &line), ShouldBeNil)
+		So(line.LeftOut, ShouldBeGreaterThan, 7*lineBurst)
+	})
+}
