Pass instance lists on only when asked, from one peer, and samples of known instances

Cause: a watch waits 2.5 s, and an instance that had not read for 2.5 s counted as depending on its peers: all of them sent it the whole list again and again. Change: an instance that can't read asks one peer at a time; lists are decoded once, entry by entry; exchanges slow down with the size of the fleet; each upstream has a connection for each instance at least; probes of suspects back off.

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -98,6 +98,8 @@
 	cadence          core.ReadCadence
 	readersPerZone   int
 	exchangeInterval core.Millis
+	// exchangePerInstance slows the exchanges of a large fleet down.
+	exchangePerInstance core.Millis
 }
 
 // chooseSources returns the sources for the instance's interface.
@@ -112,6 +114,8 @@
 			cadence:          routesCadence(),
 			readersPerZone:   routesReadersPerZone,
 			exchangeInterval: routesExchangeInterval,
+
+			exchangePerInstance: routesExchangePerInstance,
 		}
 	}
 	return sources{
@@ -148,6 +152,8 @@
 
 		ReadersPerZone:   sources.readersPerZone,
 		ExchangeInterval: sources.exchangeInterval,
+
+		ExchangePerInstance: sources.exchangePerInstance,
 	})
 	i.publications = core.NewPublications(core.PublicationsParts{
 		Clock:    i.clock,
--- a/cli/routes.go
+++ b/cli/routes.go
@@ -17,6 +17,9 @@
 	// routesExchangeInterval is the pause between two exchanges with one peer:
 	// peers only help out where the store turns an instance away.
 	routesExchangeInterval = 2 * core.Second
+	// routesExchangePerInstance keeps the cost of exchanges at an instance, with as
+	// many links as the logarithm of the fleet, below a kilobyte a second.
+	routesExchangePerInstance = 50 * core.Millis(1)
 	// routesReadersPerZone lets every instance of today's deployments watch the
 	// store: its rate allows for it, and a change is in force soonest.
 	routesReadersPerZone = 8
@@ -101,6 +104,11 @@
 	configuration := r.configuration
 	configuration.Services = r.roster.Services(configuration)
 	configuration.MaxInstances = r.size
+	for n, service := range configuration.Services {
+		// Each instance needs one connection; where there are more instances than an
+		// upstream takes connections, few of them use the same one at a time.
+		configuration.Services[n].Connections = max(service.Connections, r.size)
+	}
 	i.fleet.Apply(configuration)
 	for _, member := range r.roster.Members() {
 		phase := core.PhaseLive
--- a/core/constants.go
+++ b/core/constants.go
@@ -26,10 +26,12 @@
 	PeerAliveMillis = 3 * Second
 	// KnownPeerMillis is how long after it was last heard of an instance is
 	// counted and passed on to peers.
-	KnownPeerMillis = 10 * Second
+	KnownPeerMillis = 30 * Second
+	// KnownPeerSample is how many instances a message to a peer names.
+	KnownPeerSample = 6
 	// ListSilenceMillis is how long ago an instance last read the platform when
-	// its peers tell it the instance list.
-	ListSilenceMillis = 2500 * Millis(1)
+	// it asks its peers for the instance list. It is longer than a watch waits.
+	ListSilenceMillis = 6 * Second
 	// PeerRetryMaxMillis is the longest pause after failed exchanges with a peer.
 	PeerRetryMaxMillis = 2 * Second
 	// MaxPeerLinks is the most peers that an instance exchanges news with.
@@ -39,6 +41,8 @@
 	// ProbeReturnMillis is the pause between two probes of an upstream that gets
 	// no requests.
 	ProbeReturnMillis = 250 * Millis(1)
+	// ProbeBackoffMaxMillis is the longest pause between two probes of a suspect.
+	ProbeBackoffMaxMillis = 1500 * Millis(1)
 	// SuspectScanMillis is the interval at which suspects are looked for.
 	SuspectScanMillis = 100 * Millis(1)
 	// UnreachableAfterProbes is how many failed probes in a row make an upstream
--- a/core/engine_test.go
+++ b/core/engine_test.go
@@ -65,8 +65,9 @@
 
 type fixedDecoder struct{ configuration Configuration }
 
-func (d fixedDecoder) Configuration([]byte) (Configuration, error) { return d.configuration, nil }
-func (fixedDecoder) InstanceList([]byte) (InstanceList, error)     { return InstanceList{}, nil }
+func (d fixedDecoder) Configuration([]byte) (Configuration, error)   { return d.configuration, nil }
+func (fixedDecoder) InstanceList([]byte) (InstanceList, error)       { return InstanceList{}, nil }
+func (fixedDecoder) EncodeInstanceList(InstanceList) ([]byte, error) { return nil, nil }
 
 func twoServices() Configuration {
 	configuration := Configuration{Version: 4, MaxInstances: 2}
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
-
-	"github.com/cespare/xxhash/v2"
+	"math/rand/v2"
 )
 
 // PeerInfo is what an instance says of itself.
@@ -35,14 +32,13 @@
 	// Wants asks for a newer configuration. An instance asks one peer at a time.
 	Wants bool
 	// ListRevision names the sender's instance list; InstanceList is set when
-	// the receiver lacks it.
+	// the receiver lacks it and has asked for it by WantsList.
 	ListRevision uint64
 	InstanceList []byte
-	// PlatformAge is how long ago the sender last had news of the platform, and
-	// ReadAge how long ago it last read the platform itself.
+	WantsList    bool
+	// PlatformAge is how long ago the sender last had news of the platform.
 	PlatformAge Millis
-	ReadAge     Millis
-	// Known are other instances that the sender has heard of lately.
+	// Known are some of the other instances that the sender has heard of lately.
 	Known []KnownPeer
 	// Facts are new to the receiver; Sequence is the sender's last one.
 	Facts    []Fact
@@ -76,7 +72,8 @@
 }
 
 // behind reports whether one of the two lacks a configuration that the other
-// has and one has asked for it, or may do so now.
+// has and one has asked for it, or may do so now. The same goes for the instance
+// list, where this instance depends on it.
 func (p *Peers) behind(address string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -88,6 +85,9 @@
 	if inForce.Configuration.Newer(peer.known()) {
 		return peer.wants
 	}
+	if p.Store.ReadAge() > ListSilenceMillis && peer.listRevision > p.Store.List().Revision && p.Clock.Now() >= p.fetchingList {
+		return true
+	}
 	return peer.known().Newer(inForce.Configuration) && p.Clock.Now() >= p.fetching
 }
 
@@ -129,8 +129,7 @@
 	message := Exchange{
 		From:            self,
 		PlatformAge:     p.Store.PlatformAge(),
-		ReadAge:         p.Store.ReadAge(),
-		Known:           p.news(peer),
+		Known:           p.sample(peer),
 		SeenIncarnation: peer.info.Incarnation,
 		SeenSequence:    peer.seen,
 	}
@@ -144,39 +143,42 @@
 	message.Wants = p.mayFetch(peer)
 	list := p.Store.List()
 	message.ListRevision = list.Revision
-	if peer.info.Incarnation != 0 && list.Revision > peer.listRevision && peer.needsList() {
-		message.InstanceList = list.Raw
+	message.WantsList = p.mayFetchList(peer, list.Revision)
+	if peer.wantsList && list.Revision > peer.listRevision {
+		raw, err := p.Store.EncodedList()
+		if err != nil {
+			p.Log.Error(err, "peer not told the instance list", "peer", peer.info.Name)
+		}
+		message.InstanceList = raw
 	}
 	message.Facts, message.Sequence = p.Facts.Since(peer.acked)
 	return message
 }
 
-// needsList reports whether the peer depends on others for the instance list.
-func (s *peerState) needsList() bool {
-	return s.readAge > ListSilenceMillis
+// mayFetchList reports whether the peer is asked for its instance list: it is
+// newer, this instance does not read the platform itself, and no list that another
+// peer was asked for is awaited. The caller holds the lock.
+func (p *Peers) mayFetchList(peer *peerState, revision uint64) bool {
+	now := p.Clock.Now()
+	if now < p.fetchingList || peer.listRevision <= revision || p.Store.ReadAge() <= ListSilenceMillis {
+		return false
+	}
+	p.fetchingList = now + ExchangeTimeoutMillis
+	return true
 }
 
-// news returns the instances that were heard of lately, when they are others than
-// the peer was last told of, or it is time to tell it again. The caller holds the
-// lock.
-func (p *Peers) news(peer *peerState) []KnownPeer {
+// sample returns some of the instances that were heard of lately, drawn anew for
+// each message. The caller holds the lock.
+func (p *Peers) sample(peer *peerState) []KnownPeer {
 	now := p.Clock.Now()
 	var known []KnownPeer
-	digest := xxhash.New()
-	for _, address := range slices.Sorted(maps.Keys(p.peers)) {
-		other := p.peers[address]
-		age := now - other.heardAt
-		if other == peer || other.info.Incarnation == 0 || age > KnownPeerMillis {
-			continue
+	for _, other := range p.peers {
+		if age := now - other.heardAt; other != peer && other.info.Incarnation != 0 && age <= KnownPeerMillis {
+			known = append(known, KnownPeer{Info: other.info, Age: age})
 		}
-		known = append(known, KnownPeer{Info: other.info, Age: age})
-		_, _ = digest.WriteString(address)
 	}
-	if digest.Sum64() == peer.told && now-peer.toldAt < KnownPeerMillis/2 {
-		return nil
-	}
-	peer.told, peer.toldAt = digest.Sum64(), now
-	return known
+	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	return known[:min(len(known), KnownPeerSample)]
 }
 
 // learn takes in instances that a peer has heard of. The caller holds the lock.
@@ -251,7 +253,10 @@
 		p.fetched(err)
 	}
 	if len(message.InstanceList) > 0 {
-		_, _ = p.Store.OfferInstanceList(message.InstanceList)
+		p.fetchedList()
+		if _, err := p.Store.OfferInstanceList(message.InstanceList); err != nil {
+			p.Log.Error(err, "instance list of a peer refused", "peer", message.From.Name)
+		}
 	}
 	for _, fact := range message.Facts {
 		if p.Facts.Merge(fact) {
@@ -260,6 +265,13 @@
 	}
 }
 
+// fetchedList ends the wait for an instance list.
+func (p *Peers) fetchedList() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fetchingList = 0
+}
+
 // fetched ends the wait for a configuration. After one that is refused here, no
 // peer is asked again for a while.
 func (p *Peers) fetched(refused error) {
@@ -283,7 +295,7 @@
 	s.version = message.ConfigurationVersion
 	s.digest = message.ConfigurationDigest
 	s.wants = message.Wants
-	s.readAge = message.ReadAge
+	s.wantsList = message.WantsList
 	s.listRevision = message.ListRevision
 	s.seen = max(s.seen, message.Sequence)
 	if message.SeenIncarnation == self {
--- a/core/peers.go
+++ b/core/peers.go
@@ -35,6 +35,8 @@
 	ReadersPerZone int
 	// ExchangeInterval is the pause between two exchanges with one peer.
 	ExchangeInterval Millis
+	// ExchangePerInstance times the number of instances is the least pause.
+	ExchangePerInstance Millis
 	// Apply takes in a fact that was new.
 	Apply func(Fact)
 }
@@ -51,6 +53,8 @@
 	// fetching is until when a configuration that a peer was asked for is
 	// awaited.
 	fetching Millis
+	// fetchingList is the same for an instance list.
+	fetchingList Millis
 }
 
 // peerState is what is known of one peer.
@@ -62,15 +66,12 @@
 	// acked is how far the peer has taken in this instance's facts.
 	acked uint64
 	// seen is how far this instance has taken in the peer's facts.
-	seen         uint64
-	version      uint64
-	digest       string
-	wants        bool
-	listRevision uint64
-	readAge      Millis
-	// told is a digest of the instances that the peer was last told of.
-	told          uint64
-	toldAt        Millis
+	seen          uint64
+	version       uint64
+	digest        string
+	wants         bool
+	listRevision  uint64
+	wantsList     bool
 	lastError     string
 	failuresInRow int
 }
@@ -213,7 +214,7 @@
 func (p *Peers) serve(ctx context.Context, address string, kick <-chan struct{}) {
 	for ctx.Err() == nil {
 		err := p.exchange(ctx, address)
-		pause := p.ExchangeInterval
+		pause := max(p.ExchangeInterval, Millis(p.Size())*p.ExchangePerInstance)
 		if err != nil {
 			pause = p.backoff(address)
 		}
--- a/core/prober.go
+++ b/core/prober.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -64,18 +66,25 @@
 func (p *Prober) RunSuspects(ctx context.Context) error {
 	var group errgroup.Group
 	probing := map[string]bool{}
+	pauses := map[string]Millis{}
 	done := make(chan string)
 	ticker := time.NewTicker(SuspectScanMillis.Duration())
 	defer ticker.Stop()
 	for {
-		for _, target := range p.fleet.Suspects() {
+		suspects := p.fleet.Suspects()
+		maps.DeleteFunc(pauses, func(name string, _ Millis) bool {
+			return !slices.ContainsFunc(suspects, func(t Target) bool { return t.Name == name })
+		})
+		for _, target := range suspects {
 			if probing[target.Name] || target.Lanes < 1 {
 				continue
 			}
 			probing[target.Name] = true
+			pause := max(ProbeReturnMillis, pauses[target.Name])
+			pauses[target.Name] = min(2*pause, ProbeBackoffMaxMillis)
 			group.Go(func() error {
 				p.probe(ctx, target)
-				_ = p.clock.Sleep(ctx, jitter(ProbeReturnMillis))
+				_ = p.clock.Sleep(ctx, jitter(pause))
 				select {
 				case done <- target.Name:
 				case <-ctx.Done():
--- a/core/publications.go
+++ b/core/publications.go
@@ -22,6 +22,9 @@
 // Published is a value as the platform holds it.
 type Published struct {
 	Raw []byte
+	// List is the instance list where the platform's client has decoded it already.
+	// Raw is then empty.
+	List Option[InstanceList]
 	// Revision is the platform's own count of changes to the value.
 	Revision uint64
 }
@@ -164,6 +167,7 @@
 	p.first.Add(key)
 	p.mu.Unlock()
 	if err != nil {
+		p.Store.MissPlatform()
 		p.Counters.Add(CountPlatformFailures, 1)
 		return Published{}, err
 	}
@@ -174,6 +178,13 @@
 	return published, nil
 }
 
+func (p *Publications) offerList(published Published) (bool, error) {
+	if list, ok := published.List.Get(); ok {
+		return p.Store.TakeInstanceList(list), nil
+	}
+	return p.Store.OfferInstanceList(published.Raw)
+}
+
 // Refresh reads all values at once.
 func (p *Publications) Refresh(ctx context.Context) error {
 	var group errgroup.Group
@@ -192,7 +203,7 @@
 	if key == KeyConfiguration {
 		taken, err = p.Store.OfferConfiguration(published.Raw, "platform")
 	} else {
-		taken, err = p.Store.OfferInstanceList(published.Raw)
+		taken, err = p.offerList(published)
 	}
 	if err != nil {
 		p.Log.Error(err, "published value refused", "key", key, "revision", published.Revision)
--- a/core/store.go
+++ b/core/store.go
@@ -13,6 +13,8 @@
 type Decoder interface {
 	Configuration(raw []byte) (Configuration, error)
 	InstanceList(raw []byte) (InstanceList, error)
+	// EncodeInstanceList returns a document that InstanceList reads.
+	EncodeInstanceList(list InstanceList) ([]byte, error)
 }
 
 // Refusal is a published configuration that was not put in force.
@@ -45,6 +47,7 @@
 	conflicts int
 	heardAt   Millis
 	readAt    Millis
+	missed    bool
 	onConfig  []func(Configuration)
 	onList    []func(InstanceList)
 	wake      []chan struct{}
@@ -144,17 +147,36 @@
 		s.counters.Add(CountListsRefused, 1)
 		return false, fmt.Errorf("instance list refused: %w", err)
 	}
+	return s.TakeInstanceList(candidate), nil
+}
+
+// TakeInstanceList takes in a list if it is newer, and reports whether it was.
+func (s *Store) TakeInstanceList(candidate InstanceList) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if candidate.Revision <= s.list.Revision {
-		return false, nil
+		return false
 	}
 	s.list = candidate
 	for _, apply := range s.onList {
 		apply(candidate)
 	}
 	s.signal()
-	return true, nil
+	return true
+}
+
+// EncodedList returns the newest instance list as a document for peers.
+func (s *Store) EncodedList() ([]byte, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.list.Raw == nil {
+		raw, err := s.decoder.EncodeInstanceList(s.list)
+		if err != nil {
+			return nil, fmt.Errorf("encode instance list: %w", err)
+		}
+		s.list.Raw = raw
+	}
+	return s.list.Raw, nil
 }
 
 func (s *Store) signal() {
@@ -194,13 +216,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.readAt = s.clock.Now()
+	s.missed = false
 }
 
-// ReadAge returns how long ago this instance last read the platform itself.
+// MissPlatform records that this instance could not read the platform.
+func (s *Store) MissPlatform() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.missed = true
+}
+
+// ReadAge returns how long ago this instance last read the platform itself. After
+// a failed read it is more than ListSilenceMillis.
 func (s *Store) ReadAge() Millis {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	return s.clock.Now() - s.readAt
+	age := s.clock.Now() - s.readAt
+	if s.missed {
+		return max(age, ListSilenceMillis+1)
+	}
+	return age
 }
 
 // PlatformAge returns how long ago the platform was last heard, directly or
--- a/core/store_test.go
+++ b/core/store_test.go
@@ -27,6 +27,10 @@
 	return l, err
 }
 
+func (textDecoder) EncodeInstanceList(list InstanceList) ([]byte, error) {
+	return fmt.Append(nil, list.Revision), nil
+}
+
 func newTestStore() *Store {
 	return NewStore(NewClock(), textDecoder{}, NewCounters())
 }
--- a/io/configservice/decoder.go
+++ b/io/configservice/decoder.go
@@ -179,6 +179,11 @@
 	return kind
 }
 
+// EncodeInstanceList implements core.Decoder. Lists are passed on as they were read.
+func (Decoder) EncodeInstanceList(list core.InstanceList) ([]byte, error) {
+	return list.Raw, nil
+}
+
 // InstanceList implements core.Decoder.
 func (Decoder) InstanceList(raw []byte) (core.InstanceList, error) {
 	root, doc, err := jsondoc.Parse("instances", raw)
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -23,7 +23,7 @@
 		SeenIncarnation:      message.SeenIncarnation,
 		SeenSequence:         message.SeenSequence,
 		Wants:                message.Wants,
-		ReadAgeMillis:        int64(message.ReadAge),
+		WantsList:            message.WantsList,
 	}
 	for _, known := range message.Known {
 		wire.Known = append(wire.Known, &peerpb.KnownInstance{
@@ -48,7 +48,7 @@
 		SeenIncarnation:      wire.GetSeenIncarnation(),
 		SeenSequence:         wire.GetSeenSequence(),
 		Wants:                wire.GetWants(),
-		ReadAge:              max(0, core.Millis(wire.GetReadAgeMillis())),
+		WantsList:            wire.GetWantsList(),
 	}
 	for _, known := range wire.GetKnown() {
 		message.Known = append(message.Known, core.KnownPeer{
