--- a/core/constants.go
+++ b/core/constants.go
@@ -174,7 +174,7 @@
 	HedgeObjectiveFactor = 0.25
 	// HedgePart is the part of the allowance of repeats that hedges may use. The
 	// rest is left to retries after failures.
-	HedgePart = 0.8
+	HedgePart = 0.9
 	// MaxArrivals is how often one request may arrive at one service, refused
 	// arrivals included.
 	MaxArrivals = 4
--- a/core/router.go
+++ b/core/router.go
@@ -99,9 +99,11 @@
 	if request.Deadline != 0 {
 		deadline = min(deadline, request.Deadline)
 	}
-	deadline -= ReplyMarginMillis
+	// The request has waited to be read for about as long as the process is behind.
+	lag := r.Lag.Lag()
+	deadline -= ReplyMarginMillis + Millis(lag)
 	var answer RoutedAnswer
-	switch lag := r.Lag.Lag(); {
+	switch {
 	case lag > OverloadRefuseFactor*float64(route.Objective):
 		answer = refuseRouted(ReasonOverloaded, RetrySoonMillis, "this instance is %.0f ms behind", lag)
 	case deadline <= r.Clock.Now():
--- a/core/router_test.go
+++ b/core/router_test.go
@@ -511,6 +511,25 @@
 	})
 }
 
+// TestALaggingInstancePassesOnLessTime covers a request that waited to be read: the
+// caller's time began before it was.
+func TestALaggingInstancePassesOnLessTime(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		route := plainRoute(true, 1)
+		route.Objective = 400
+		f := newRouterFixture(1, 1, route)
+		for range 20 {
+			f.lag.Observe(50)
+		}
+		f.ask(context.Background())
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if got, limit := f.sent[0].deadline, Second-ReplyMarginMillis-49; got > limit {
+			t.Errorf("passed on %d ms, %d are left", got, limit)
+		}
+	})
+}
+
 // TestRequestsKeepToTheirConfiguration covers repartitioning: a request is answered
 // by the shards of the version that it started with, never by a mixture.
 func TestRequestsKeepToTheirConfiguration(t *testing.T) {
