--- a/cli/routes.go
+++ b/cli/routes.go
@@ -27,8 +27,9 @@
 )
 
 // watchMargin is how long before the end of the time in which a configuration must
-// be in force a watch ends that nothing was heard of, so that it is asked again.
-const watchMargin = 500 * core.Millis(1)
+// be in force a watch ends that nothing was heard of. It leaves time to give up a
+// call that gets no answer, and to read anew.
+const watchMargin = core.Second
 
 // routesCadence reads the store often enough to notice within a configuration's
 // time to be in force that a connection to it fell silent.
--- a/standin/faults/list.go
+++ b/standin/faults/list.go
@@ -43,8 +43,8 @@
 		pkg: "./io/upstream", test: "TestRepliesOfAnUpstream",
 	},
 	{
-		name: "connectionUsedAfterMismatch", file: "io/upstream/client.go",
-		old: "		lanes.replace(lane)\n	}\n	return err\n}\n\nfunc reusable", new: "		lanes.put(lane)\n	}\n	return err\n}\n\nfunc reusable",
+		name: "connectionUsedAfterMismatch", file: "io/upstream/exchange.go",
+		old: "	if keep && reusable(err) {", new: "	if keep {",
 		pkg: "./io/upstream", test: "TestRepliesOfAnUpstream",
 	},
 	{
@@ -98,7 +98,7 @@
 		pkg: "./core", test: "TestStore",
 	},
 	{
-		name: "peersNotTold", file: "core/peers.go",
+		name: "peersNotTold", file: "core/exchange.go",
 		old: "			message.Configuration = inForce.Configuration.Raw\n", new: "",
 		pkg: "./proof", test: "TestConfigurationInForce",
 	},
@@ -114,7 +114,7 @@
 	},
 	{
 		name: "everyInstanceReads", file: "core/peers.go",
-		old: "return before < ReadersPerZone", new: "return true",
+		old: "return before < p.ReadersPerZone", new: "return true",
 		pkg: "./proof", test: "TestPlatformReadsGrowWithZones",
 	},
 	{
@@ -122,4 +122,69 @@
 		old: "	ctx, cancel := q.engine.Clock.WithDeadline(ctx, deadline)", new: "	ctx, cancel := q.engine.Clock.WithDeadline(context.WithoutCancel(ctx), deadline+Minute)",
 		pkg: "./proof", test: "TestCallerThatGoesAway",
 	},
+	{
+		name: "lostRequestRepeated", file: "core/dispatch.go",
+		old: "return d.runs == 0 || d.route.Idempotent", new: "return true",
+		pkg: "./core", test: "TestPlainRequests",
+	},
+	{
+		name: "unrepeatableHedged", file: "core/dispatch.go",
+		old: "if len(d.running) != 1 || !d.route.Idempotent || !d.mayRepeat()", new: "if len(d.running) != 1",
+		pkg: "./core", test: "TestPlainRequests",
+	},
+	{
+		name: "allowanceIgnored", file: "core/allowance.go",
+		old: "if float64(repeats+1) > allowed {", new: "if false {",
+		pkg: "./core", test: "TestAllowance",
+	},
+	{
+		name: "slackForEach", file: "core/allowance.go",
+		old: "a.limit.Slack * slackPart / float64(a.instances)", new: "a.limit.Slack",
+		pkg: "./core", test: "TestAllowance",
+	},
+	{
+		name: "foreignReplyTaken", file: "io/upstream/exchange.go",
+		old: "if own == nil || own(response.Header) {", new: "if true {",
+		pkg: "./platform", test: "TestReplies",
+	},
+	{
+		name: "bytesAfterReplyKept", file: "io/upstream/exchange.go",
+		old: "open && lane.reader.Buffered() == 0 && stop()", new: "open && stop()",
+		pkg: "./platform", test: "TestReplies",
+	},
+	{
+		name: "refusalWithoutProof", file: "platform/upstream.go",
+		old: "case promisesNotRun(response.Status):", new: "case false:",
+		pkg: "./platform", test: "TestReplies",
+	},
+	{
+		name: "unlistedUsedAlways", file: "core/fleet.go",
+		old: "return !r.upstream.Unlisted", new: "return true",
+		pkg: "./core", test: "TestUnlistedUpstreams",
+	},
+	{
+		name: "lapsedForgottenAtOnce", file: "core/roster.go",
+		old: "r.clock.Since(since) > UnlistedGraceMillis", new: "r.clock.Since(since) >= 0",
+		pkg: "./core", test: "TestRoster",
+	},
+	{
+		name: "historyGapIgnored", file: "platform/feed.go",
+		old: "	f.configuration.Revision, f.list.Revision = 0, 0\n", new: "",
+		pkg: "./platform", test: "TestFeed",
+	},
+	{
+		name: "silenceOfHeardUpstreams", file: "core/replica.go",
+		old: "if r.heardAt > since || r.unreachable() {", new: "if r.unreachable() {",
+		pkg: "./core", test: "TestSilenceIsNotConcludedFromLateTimers",
+	},
+	{
+		name: "callersGoneWorkedFor", file: "core/router.go",
+		old: "stop := context.AfterFunc(ctx, cancel)", new: "stop := context.AfterFunc(context.Background(), cancel)",
+		pkg: "./core", test: "TestCallersThatLeave",
+	},
+	{
+		name: "logBlocks", file: "io/operator/logwriter.go",
+		old: "	default:\n		w.dropped.Add(1)\n", new: "	case <-w.done:\n",
+		pkg: "./io/operator", test: "TestLogWriter",
+	},
 }
--- a/standin/faults/main.go
+++ b/standin/faults/main.go
@@ -59,7 +59,7 @@
 	if err := f.apply(folder); err != nil {
 		return false, err
 	}
-	build := exec.Command("go", "vet", "./core", "./cli", "./io/...")
+	build := exec.Command("go", "vet", "./core", "./cli", "./io/...", "./platform")
 	build.Dir = folder
 	if out, err := build.CombinedOutput(); err != nil {
 		return false, fmt.Errorf("the faulty code does not build: %w: %s", err, out)
