Do not take an upstream for unreachable when a probe of it breaks off

Ruled out: the list of upstreams, which was whole (no line "upstreams changed" then). Change: a probe whose connection broke says nothing. A table of probes failed first.

--- a/core/prober.go
+++ b/core/prober.go
@@ -162,7 +162,7 @@
 	switch {
 	case err == nil:
 		p.fleet.Observe(target.Name, status)
-	case !errors.Is(err, ErrNoFreeConnection):
+	case !inconclusive(err):
 		p.fleet.ProbeFailed(target.Name)
 	}
 	p.mu.Lock()
@@ -170,6 +170,13 @@
 	p.mu.Unlock()
 }
 
+// inconclusive reports whether a failed probe says nothing of whether the upstream
+// can be reached: it was not made, or the connection was there and broke.
+func inconclusive(err error) bool {
+	var failure *AttemptError
+	return errors.Is(err, ErrNoFreeConnection) || (errors.As(err, &failure) && failure.Kind == FailureLost)
+}
+
 // ProbeAll probes every upstream at once.
 func (p *Prober) ProbeAll(ctx context.Context) {
 	var group errgroup.Group
