--- a/cli/cli.go
+++ b/cli/cli.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"os"
 	"runtime/debug"
 
 	"github.com/spf13/cobra"
@@ -75,7 +76,8 @@
 	root.SetOut(stdout)
 	root.SetErr(stderr)
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError(err.Error()) })
-	root.AddCommand(newEntryCommand(stdout), newCheckCommand(stdout), newDumpCommand(stdout), newQueryCommand(stdout), newVersionCommand(stdout))
+	root.AddCommand(newEntryCommand(stdout), newCheckCommand(stdout), newDumpCommand(stdout), newQueryCommand(stdout), newVersionCommand(stdout),
+		newExplainCommand(os.Stdin, stdout, stderr))
 	return root
 }
 
--- a/io/operator/log_test.go
+++ b/io/operator/log_test.go
@@ -29,20 +29,27 @@
 	Convey("A log whose output nobody reads blocks no writer, and says later what is missing", t, func() {
 		output := &stalledOutput{release: make(chan struct{})}
 		writer := NewLogWriter(output)
-		started := time.Now()
 		const line = "{\"msg\":\"x\"}\n"
 		const held = maxQueuedLines + maxBatchBytes/len(line) + 2
 		const lines = 3 * held
-		for range lines {
-			_, _ = writer.Write([]byte(line))
+		written := make(chan struct{})
+		go func() {
+			defer close(written)
+			for range lines {
+				_, _ = writer.Write([]byte(line))
+			}
+		}()
+		select {
+		case <-written:
+		case <-time.After(time.Second):
+			t.Fatal("a writer waits for the reader of the log")
 		}
-		So(time.Since(started), ShouldBeLessThan, time.Second)
 		So(writer.Dropped(), ShouldBeGreaterThanOrEqualTo, lines-held)
 		close(output.release)
 		writer.Close()
-		written := output.buffer.String()
-		So(strings.Count(written, `"msg":"x"`)+int(writer.Dropped()), ShouldEqual, lines)
-		So(written, ShouldContainSubstring, `"msg":"log lines dropped"`)
+		text := output.buffer.String()
+		So(strings.Count(text, `"msg":"x"`)+int(writer.Dropped()), ShouldEqual, lines)
+		So(text, ShouldContainSubstring, `"msg":"log lines dropped"`)
 	})
 	Convey("What was written before the end is there after it", t, func() {
 		var output bytes.Buffer
