Count only requests that every window surely counts for repeats; split the fleet's file; name services in refusals

The check counted only the requests of that window; the users take the most of three windows. With their rule it still found two bursts, 9.5 s apart, whose repeats together pass the limit: 80 of 139 requests, 79.8 allowed.

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -98,8 +98,8 @@
 	cadence          core.ReadCadence
 	readersPerZone   int
 	exchangeInterval core.Millis
-	// exchangePerInstance slows the exchanges of a large fleet down.
-	exchangePerInstance core.Millis
+	// perInstance times the number of instances is the least exchange interval.
+	perInstance core.Millis
 }
 
 // chooseSources returns the sources for the instance's interface.
@@ -114,8 +114,7 @@
 			cadence:          routesCadence(i.settings),
 			readersPerZone:   routesReadersPerZone,
 			exchangeInterval: routesExchangeInterval,
-
-			exchangePerInstance: routesExchangePerInstance,
+			perInstance:      routesExchangePerInstance,
 		}
 	}
 	return sources{
@@ -153,7 +152,7 @@
 		ReadersPerZone:   sources.readersPerZone,
 		ExchangeInterval: sources.exchangeInterval,
 
-		ExchangePerInstance: sources.exchangePerInstance,
+		ExchangePerInstance: sources.perInstance,
 	})
 	i.publications = core.NewPublications(core.PublicationsParts{
 		Clock:    i.clock,
--- a/cli/routes.go
+++ b/cli/routes.go
@@ -31,14 +31,24 @@
 // call that gets no answer, and to read anew.
 const watchMargin = core.Second
 
+const (
+	// watchPause lets changes that come together be read by one call. It is short
+	// against the time in which leaving upstreams may get no more work.
+	watchPause = 400 * core.Millis(1)
+	// readRetryMin and readRetryMax are the first and the longest pause after failed
+	// reads. The longest is short against a configuration's time to be in force.
+	readRetryMin = 100 * core.Millis(1)
+	readRetryMax = 500 * core.Millis(1)
+)
+
 // routesCadence reads the store often enough to notice within a configuration's
 // time to be in force that a connection to it fell silent.
 func routesCadence(settings operator.Settings) core.ReadCadence {
 	return core.ReadCadence{
 		Wait:     settings.ConfigurationInForce - watchMargin,
-		Pause:    400,
-		RetryMin: 100,
-		RetryMax: 500,
+		Pause:    watchPause,
+		RetryMin: readRetryMin,
+		RetryMax: readRetryMax,
 	}
 }
 
--- a/core/allowance.go
+++ b/core/allowance.go
@@ -84,6 +84,27 @@
 	return int(w.at % (allowanceBuckets + 1))
 }
 
+// safeRequests returns how many requests are sure to count for a window that a
+// repeat sent now falls into, wherever that window begins. The users take the most
+// requests of the window, of the one before it and of the one half a window before
+// it. One of these three holds the last half window before now, and one holds the last
+// three quarters or the three quarters that ended a quarter ago.
+func (w *allowanceWindow) safeRequests() int {
+	const quarter = allowanceBuckets / 4
+	half := w.sumAges(0, 2*quarter-1)
+	return max(half, min(w.sumAges(0, 3*quarter-1), w.sumAges(quarter+1, allowanceBuckets-1)))
+}
+
+// sumAges returns the requests of the buckets of the given ages, both included.
+func (w *allowanceWindow) sumAges(from, to Millis) int {
+	const buckets = allowanceBuckets + 1
+	total := 0
+	for age := from; age <= to; age++ {
+		total += w.requests[(w.at-age+buckets)%buckets]
+	}
+	return total
+}
+
 // Earn records the first request to a service.
 func (a *Allowance) Earn(service string) {
 	a.mu.Lock()
@@ -98,7 +119,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	w := a.window(service)
-	requests, repeats := sum(w.requests[:]), sum(w.repeats[:])
+	requests, repeats := w.safeRequests(), sum(w.repeats[:])
 	slack := a.limit.Slack * slackPart / float64(a.instances)
 	allowed := part * (a.limit.Ratio*float64(requests) + slack)
 	if float64(repeats+1) > allowed {
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -31,15 +31,6 @@
 	zones    map[string]*zoneView
 }
 
-// zoneView is what is known of the way to one zone.
-type zoneView struct {
-	heardAt Millis
-	// late counts the attempts that were late since the zone was last heard, and
-	// lateSince is when the first of them was sent.
-	late      int
-	lateSince Millis
-}
-
 type service struct {
 	name     string
 	replicas []*replica
@@ -83,89 +74,6 @@
 	}
 }
 
-// UpstreamChange says that an upstream went in or out of use.
-type UpstreamChange struct {
-	Name        string
-	Service     string
-	Zone        string
-	Incarnation uint64
-	InUse       bool
-	// Cause is what made the difference.
-	Cause string
-	// HeardAt is when the upstream was last heard.
-	HeardAt Millis
-}
-
-// OnChange registers a function that is called with each change. It must not call
-// the fleet.
-func (f *Fleet) OnChange(report func(UpstreamChange)) {
-	f.onChange = report
-}
-
-// changed reports whether the replica is in use, if that differs from the last
-// report. The caller holds the lock.
-func (f *Fleet) changed(r *replica, cause string) {
-	inUse := r.routable() && !r.down
-	if f.onChange == nil || inUse == r.reported {
-		return
-	}
-	r.reported = inUse
-	f.onChange(UpstreamChange{
-		Name: r.upstream.Name, Service: r.service, Zone: r.upstream.Zone, Incarnation: r.incarnation,
-		InUse: inUse, Cause: cause, HeardAt: r.heardAt,
-	})
-}
-
-// zoneOf returns the view of a replica's zone. The caller holds the lock.
-func (f *Fleet) zoneOf(r *replica) *zoneView {
-	zone, ok := f.zones[r.upstream.Zone]
-	if !ok {
-		zone = &zoneView{}
-		f.zones[r.upstream.Zone] = zone
-	}
-	return zone
-}
-
-// heard records that a replica replied. The caller holds the lock.
-func (f *Fleet) heard(r *replica, now Millis) {
-	r.heard(now)
-	f.changed(r, "reply")
-	zone := f.zoneOf(r)
-	zone.heardAt, zone.late = now, 0
-}
-
-// late records that an attempt is late. The caller holds the lock.
-func (f *Fleet) late(r *replica, since Millis) {
-	zone := f.zoneOf(r)
-	if zone.heardAt >= since {
-		return
-	}
-	if zone.late == 0 {
-		zone.lateSince = since
-	}
-	zone.late++
-}
-
-// CheckZones looks for zones that are cut off: many attempts are late, and nothing
-// was heard from there since the first of them was sent. Their upstreams get no
-// requests until a probe reaches them.
-func (f *Fleet) CheckZones() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := f.clock.Now()
-	for name, zone := range f.zones {
-		if zone.late < ZoneSilentAttempts || now-zone.lateSince < ZoneSilentMillis {
-			continue
-		}
-		zone.late = 0
-		for _, r := range f.replicas {
-			if r.upstream.Zone == name && r.silent(now) {
-				f.changed(r, "zone silent")
-			}
-		}
-	}
-}
-
 // Apply takes in the services of a configuration. What is known of upstreams
 // that stay is kept.
 func (f *Fleet) Apply(configuration Configuration) {
@@ -585,60 +493,3 @@
 	}
 	return r.down || !r.routable() || f.clock.Since(r.heardAt) >= ProbeIntervalMillis
 }
-
-// ReplicaState is the view of one upstream, for the state dump.
-type ReplicaState struct {
-	Name          string
-	Service       string
-	Address       string
-	Zone          string
-	Incarnation   uint64
-	Phase         Phase
-	LeavingSource string
-	LeavingSince  Millis
-	Snapshots     map[string][]uint64
-	InFlight      int
-	Limit         float64
-	Share         int
-	LatencyMillis float64
-	ReportedLoad  float64
-	HeardAt       Millis
-	EjectedUntil  Millis
-}
-
-// State returns the view of all upstreams, sorted by name.
-func (f *Fleet) State() []ReplicaState {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	states := make([]ReplicaState, 0, len(f.replicas))
-	for _, r := range f.replicas {
-		states = append(states, r.state())
-	}
-	slices.SortFunc(states, func(a, b ReplicaState) int { return cmp.Compare(a.Name, b.Name) })
-	return states
-}
-
-func (r *replica) state() ReplicaState {
-	snapshots := make(map[string][]uint64, len(r.snapshots))
-	for collection, ids := range r.snapshots {
-		snapshots[collection] = ids.Sorted()
-	}
-	return ReplicaState{
-		Name:          r.upstream.Name,
-		Service:       r.service,
-		Address:       r.upstream.Address,
-		Zone:          r.upstream.Zone,
-		Incarnation:   r.incarnation,
-		Phase:         r.phase,
-		LeavingSource: r.leavingSource,
-		LeavingSince:  r.leavingSince,
-		Snapshots:     snapshots,
-		InFlight:      r.inFlight,
-		Limit:         r.limit,
-		Share:         r.share,
-		LatencyMillis: r.latency,
-		ReportedLoad:  r.load,
-		HeardAt:       r.heardAt,
-		EjectedUntil:  r.ejectedUntil,
-	}
-}
--- a/core/message.go
+++ b/core/message.go
@@ -79,6 +79,10 @@
 	// configuration that it stands in.
 	Route                string
 	ConfigurationVersion uint64
+	// Service is the one destination that was asked, if there was one.
+	Service string
+	// Shards names shards that are missing, with the reason, for the log.
+	Shards string
 	// Reply is set when one upstream answered.
 	Reply Option[RoutedReply]
 	// Merged is set when several shards answered.
--- /dev/null
+++ b/core/replicastate.go
@@ -0,0 +1,63 @@
+package core
+
+import (
+	"cmp"
+	"slices"
+)
+
+// ReplicaState is the view of one upstream, for the state dump.
+type ReplicaState struct {
+	Name          string
+	Service       string
+	Address       string
+	Zone          string
+	Incarnation   uint64
+	Phase         Phase
+	LeavingSource string
+	LeavingSince  Millis
+	Snapshots     map[string][]uint64
+	InFlight      int
+	Limit         float64
+	Share         int
+	LatencyMillis float64
+	ReportedLoad  float64
+	HeardAt       Millis
+	EjectedUntil  Millis
+}
+
+// State returns the view of all upstreams, sorted by name.
+func (f *Fleet) State() []ReplicaState {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	states := make([]ReplicaState, 0, len(f.replicas))
+	for _, r := range f.replicas {
+		states = append(states, r.state())
+	}
+	slices.SortFunc(states, func(a, b ReplicaState) int { return cmp.Compare(a.Name, b.Name) })
+	return states
+}
+
+func (r *replica) state() ReplicaState {
+	snapshots := make(map[string][]uint64, len(r.snapshots))
+	for collection, ids := range r.snapshots {
+		snapshots[collection] = ids.Sorted()
+	}
+	return ReplicaState{
+		Name:          r.upstream.Name,
+		Service:       r.service,
+		Address:       r.upstream.Address,
+		Zone:          r.upstream.Zone,
+		Incarnation:   r.incarnation,
+		Phase:         r.phase,
+		LeavingSource: r.leavingSource,
+		LeavingSince:  r.leavingSince,
+		Snapshots:     snapshots,
+		InFlight:      r.inFlight,
+		Limit:         r.limit,
+		Share:         r.share,
+		LatencyMillis: r.latency,
+		ReportedLoad:  r.load,
+		HeardAt:       r.heardAt,
+		EjectedUntil:  r.ejectedUntil,
+	}
+}
--- a/core/router.go
+++ b/core/router.go
@@ -123,7 +123,9 @@
 func (r *Router) forward(ctx context.Context, route Route, request RoutedRequest, deadline Millis) RoutedAnswer {
 	service := route.pick()
 	if r.Fleet.ReachableServices([]string{service}) == 0 {
-		return refuseRouted(ReasonNoUpstream, RetrySoonMillis, "no upstream of %s can be reached", service)
+		answer := refuseRouted(ReasonNoUpstream, RetrySoonMillis, "no upstream of %s can be reached", service)
+		answer.Service = service
+		return answer
 	}
 	work, release := r.workContext(ctx)
 	defer release()
@@ -136,6 +138,7 @@
 	reply, failure := d.run(waiting)
 	answer := d.conclude(reply, failure)
 	answer.Attempts = d.arrivals
+	answer.Service = service
 	return answer
 }
 
@@ -195,6 +198,12 @@
 	}
 	facts := []any{"route", answer.Route, "configuration", answer.ConfigurationVersion,
 		"attempts", answer.Attempts, "elapsedMillis", int64(elapsed)}
+	if answer.Service != "" {
+		facts = append(facts, "service", answer.Service)
+	}
+	if answer.Shards != "" {
+		facts = append(facts, "shards", answer.Shards)
+	}
 	merged, scattered := answer.Merged.Get()
 	switch {
 	case answer.Outcome == OutcomeNotRun:
@@ -207,7 +216,7 @@
 	case scattered && merged.Missing > 0:
 		r.Counters.Add(CountAnswered, 1)
 		r.Counters.Add(CountPartial, 1)
-		r.story(request, "answered in part", append(facts, "missing", merged.Missing, "shards", answer.Detail)...)
+		r.story(request, "answered in part", append(facts, "missing", merged.Missing)...)
 	default:
 		r.Counters.Add(CountAnswered, 1)
 		r.Log.V(1).Info("answered", append([]any{"request", request.ID}, facts...)...)
--- a/core/scatter.go
+++ b/core/scatter.go
@@ -33,8 +33,10 @@
 func (r *Router) scatter(ctx context.Context, route Route, request RoutedRequest, deadline Millis) RoutedAnswer {
 	least := route.LeastShards()
 	if reachable := r.Fleet.ReachableServices(route.Shards); reachable < least {
-		return refuseRouted(ReasonNoUpstream, RetrySoonMillis,
+		answer := refuseRouted(ReasonNoUpstream, RetrySoonMillis,
 			"%d of %d shards can be reached, %d are needed", reachable, len(route.Shards), least)
+		answer.Shards = r.unreachable(route.Shards)
+		return answer
 	}
 	s := &scatter{router: r, route: route, request: request, deadline: deadline, answered: NewSet[string]()}
 	work, release := r.workContext(ctx)
@@ -114,6 +116,17 @@
 // maxNamedShards bounds how many missing shards are named in a log line.
 const maxNamedShards = 5
 
+// unreachable names some of the services that have no upstream in reach.
+func (r *Router) unreachable(services []string) string {
+	var names []string
+	for _, service := range services {
+		if len(names) < maxNamedShards && r.Fleet.ReachableServices([]string{service}) == 0 {
+			names = append(names, service+":unreachable")
+		}
+	}
+	return strings.Join(names, " ")
+}
+
 // missing names shards that are not in, and whether an upstream was given the
 // request for them.
 func (s *scatter) missing() []string {
@@ -146,7 +159,7 @@
 		return RoutedAnswer{
 			Outcome:  OutcomeAnswered,
 			Merged:   Some(MergedReply{Signatures: signatures, Missing: missing, Records: MergeTop(s.parts, s.route.Top)}),
-			Detail:   strings.Join(s.missing(), " "),
+			Shards:   strings.Join(s.missing(), " "),
 			Attempts: s.arrivals,
 		}
 	}
@@ -158,6 +171,7 @@
 		return answer
 	}
 	answer := RoutedAnswer{Outcome: OutcomeUnknown, Reason: ReasonTimeout, Attempts: s.arrivals, MoveOn: true}
+	answer.Shards = strings.Join(s.missing(), " ")
 	answer.Detail = "too few shards answered in time"
 	if pending == 0 || s.failed > 0 {
 		answer.Reason = ReasonConnectionLost
