--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -186,8 +186,3 @@
 	}
 	return fromStatus(status), nil
 }
-
-// Warm opens connections to an upstream until count are open.
-func (c *Client) Warm(ctx context.Context, target core.Target, count int) {
-	c.lanesOf(target).warm(ctx, count)
-}
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -75,7 +75,6 @@
 	}
 	if keep && reusable(err) {
 		lane.usedAt = c.clock.Now()
-		lane.served++
 		lanes.put(lane)
 		return response, err
 	}
--- a/io/upstream/lanes.go
+++ b/io/upstream/lanes.go
@@ -33,8 +33,6 @@
 	// idleLimit is how long the upstream keeps the connection open without a
 	// request, or zero where it does not say.
 	idleLimit core.Millis
-	// served counts the replies so far.
-	served int
 }
 
 // noteKeepAlive takes in a Keep-Alive header of the form "timeout=SECONDS, max=N".
