Record the end of an attempt where it ends, in the router's tests

The recorder ran in a task of its own, which a return at the same moment could stop before it began. The attempts did end at 30 ms.

--- a/core/router_test.go
+++ b/core/router_test.go
@@ -73,13 +73,13 @@
 	f.sent = append(f.sent, record)
 	act := f.behaviours[target.Name]
 	f.mu.Unlock()
-	stop := context.AfterFunc(ctx, func() {
+	reply, err := act(ctx)
+	if ctx.Err() != nil {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		record.cancelled = f.since()
-	})
-	defer stop()
-	return act(ctx)
+	}
+	return reply, err
 }
 
 func (f *routerFixture) since() Millis { return f.clock.Now() - f.started }
