Recognise requests that crash upstreams on routes

Cause: the users' rule on crashing requests had no counterpart on routes; a request that comes again ran on as many upstreams as its route allows each time. Ruled out: counting every lost connection (an upstream that loses answers would have its callers refused) and counting all upstreams lost at one moment (a zone that is cut). Change: an attempt that lost its connection counts once a probe finds its upstream unreachable and if it was sent after the last counted loss; two convict, a whole answer clears, verdicts travel with the facts between instances. Before: 4 (one service), 12 (three shards) runs of four sendings; after: 2 and 6 (TestRequestsThatCrashUpstreams, which failed before).

--- a/cli/routes.go
+++ b/cli/routes.go
@@ -87,6 +87,8 @@
 		Pause:     i.pause,
 		Lag:       i.lag,
 		Counters:  i.counters,
+
+		Quarantine: i.quarantine,
 		Log:       i.log,
 	})
 }
--- a/core/constants.go
+++ b/core/constants.go
@@ -218,6 +218,9 @@
 	ConvictAfterCrashes = 2
 	// SuspectAfterLosses is how many lost connections make a query a suspect.
 	SuspectAfterLosses = 2
+	// CrashConfirmMillis is how long after a lost connection its upstream must be
+	// known to be unreachable for it to count as crashed. It leaves time for a probe.
+	CrashConfirmMillis = 400 * Millis(1)
 	// VerdictTTLMillis is how long a verdict on a request holds.
 	VerdictTTLMillis = 10 * Minute
 	// LeavingTTLMillis is how long word of a leaving upstream is passed on.
--- a/core/counters.go
+++ b/core/counters.go
@@ -30,6 +30,7 @@
 	CountOrdersForwarded
 	CountOrdersJoined
 	CountConvictions
+	CountCrashersRefused
 	CountConfigurationsAccepted
 	CountConfigurationsRefused
 	CountConfigurationConflicts
@@ -68,6 +69,7 @@
 	CountOrdersForwarded:        "ordersForwarded",
 	CountOrdersJoined:           "ordersJoined",
 	CountConvictions:            "convictions",
+	CountCrashersRefused:        "crashingRequestsRefused",
 	CountConfigurationsAccepted: "configurationsAccepted",
 	CountConfigurationsRefused:  "configurationsRefused",
 	CountConfigurationConflicts: "configurationConflicts",
--- /dev/null
+++ b/core/crashwatch_test.go
@@ -0,0 +1,118 @@
+package core
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// crashes loses every attempt after the given time, and the upstream with it: probes
+// fail from then on.
+func (f *routerFixture) crashes(upstream string, after Millis) behaviour {
+	return func(context.Context) (RoutedReply, error) {
+		time.Sleep(after.Duration())
+		time.AfterFunc(50*time.Millisecond, func() { f.fleet.ProbeFailed(upstream) })
+		return RoutedReply{}, &AttemptError{Kind: FailureLost}
+	}
+}
+
+// TestRequestsThatCrashUpstreams covers a request that comes again and again and
+// takes an upstream with it each time, and those that only look like it.
+func TestRequestsThatCrashUpstreams(t *testing.T) {
+	cases := []struct {
+		name  string
+		route Route
+		act   func(f *routerFixture, upstream string) behaviour
+		// runs is the most attempts that all sendings together may make, and refused
+		// is whether the last one is refused.
+		runs    int
+		refused bool
+	}{
+		{
+			"one service: refused after two runs", plainRoute(true, 2),
+			func(f *routerFixture, upstream string) behaviour { return f.crashes(upstream, 5) }, 2, true,
+		},
+		{
+			"not idempotent: refused after two runs", plainRoute(false, 2),
+			func(f *routerFixture, upstream string) behaviour { return f.crashes(upstream, 5) }, 2, true,
+		},
+		{
+			"shards: refused after two runs of each", scatteredRoute(3, 0.9),
+			func(f *routerFixture, upstream string) behaviour { return f.crashes(upstream, 5) }, 6, true,
+		},
+		{
+			"connections break, upstreams stay", plainRoute(true, 2),
+			func(*routerFixture, string) behaviour { return fails(FailureLost, 5) }, 8, false,
+		},
+		{
+			"upstreams answer", plainRoute(true, 2),
+			func(*routerFixture, string) behaviour { return answers(5) }, 4, false,
+		},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				f := newRouterFixture(3, 4, tc.route)
+				for _, target := range f.fleet.Targets() {
+					f.set(target.Name, tc.act(f, target.Name))
+				}
+				var last RoutedAnswer
+				for range 4 {
+					last = f.ask(context.Background())
+					time.Sleep(time.Second)
+				}
+				if refused := last.Reason == ReasonCrashesUpstreams; refused != tc.refused {
+					t.Errorf("the last answer is %s (%s)", last.Outcome, last.Reason)
+				}
+				if tc.refused && last.Outcome != OutcomeNotRun {
+					t.Errorf("the refusal says %s", last.Outcome)
+				}
+				if sent := f.sentTo(); len(sent) > tc.runs {
+					t.Errorf("%d runs, want at most %d: %v", len(sent), tc.runs, sent)
+				}
+			})
+		})
+	}
+}
+
+// TestBystandersOfCrashes covers requests that run on upstreams which crash for
+// another reason.
+func TestBystandersOfCrashes(t *testing.T) {
+	request := RoutedRequest{Message: Message{Method: "GET", Host: "h", Target: "/p/1"}}
+	fingerprint := request.newFingerprint()
+	cases := []struct {
+		name    string
+		play    func(q *Quarantine)
+		verdict Verdict
+	}{
+		{"one crash", func(q *Quarantine) {
+			q.CrashInTurn(fingerprint, 10, 20)
+		}, VerdictSuspect},
+		{"two attempts under way as both upstreams crash", func(q *Quarantine) {
+			q.CrashInTurn(fingerprint, 10, 20)
+			q.CrashInTurn(fingerprint, 15, 25)
+		}, VerdictSuspect},
+		{"one after the other", func(q *Quarantine) {
+			q.CrashInTurn(fingerprint, 10, 20)
+			q.CrashInTurn(fingerprint, 21, 25)
+		}, VerdictConvicted},
+		{"a whole answer in between", func(q *Quarantine) {
+			q.CrashInTurn(fingerprint, 10, 20)
+			q.Clear(fingerprint)
+			q.CrashInTurn(fingerprint, 30, 40)
+		}, VerdictSuspect},
+		{"another request", func(q *Quarantine) {
+			q.CrashInTurn(fingerprint, 10, 20)
+			q.CrashInTurn(fingerprint+"x", 30, 40)
+		}, VerdictSuspect},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			q := NewQuarantine(NewClockFrom(func() Millis { return Second }), func(Fact) {})
+			tc.play(q)
+			if verdict := q.Verdict(fingerprint); verdict != tc.verdict {
+				t.Errorf("verdict %q, want %q", verdict, tc.verdict)
+			}
+		})
+	}
+}
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -137,6 +137,9 @@
 			permit.Heard()
 		}
 		permit.Fail(result.failure)
+		if result.failure.Kind == FailureLost {
+			d.router.crashes.lost(d.request.fingerprint, permit.Target().Name, permit.since)
+		}
 		return result
 	}
 	d.router.paces.observe(d.route, permit.Complete())
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -458,6 +458,15 @@
 	}
 }
 
+// Unreachable reports whether probes have confirmed that a listed upstream can't be
+// reached.
+func (f *Fleet) Unreachable(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r, ok := f.replicas[name]
+	return ok && r.unreachable()
+}
+
 // ReachableServices returns how many of the services have an upstream that may be
 // given new work.
 func (f *Fleet) ReachableServices(services []string) int {
--- a/core/message.go
+++ b/core/message.go
@@ -37,6 +37,13 @@
 	Arrived Millis
 	// Deadline is when the caller stops waiting, or zero.
 	Deadline Millis
+
+	fingerprint string
+}
+
+// newFingerprint identifies requests that make upstreams do the same work.
+func (r RoutedRequest) newFingerprint() string {
+	return fingerprintOf(r.Message.Host, r.Message.Method, r.Message.Target, string(r.Message.Body))
 }
 
 // RoutedReply is a whole reply of an upstream to a routed request.
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -30,6 +30,8 @@
 	stamp   uint64
 	crashes int
 	at      Millis
+	// lostAt is when the upstream of the last crash was lost, as seen here.
+	lostAt Millis
 }
 
 // NewQuarantine returns an empty quarantine that calls notify with each verdict
@@ -85,13 +87,29 @@
 // Crash records that an upstream was lost while it ran the request alone, and
 // returns the verdict after it.
 func (q *Quarantine) Crash(fingerprint string) Verdict {
+	now := q.clock.Now()
+	return q.CrashInTurn(fingerprint, now, now)
+}
+
+// CrashInTurn records that an upstream was lost while it ran an attempt, beside others,
+// that was sent at a time, and returns the verdict after it. Attempts that were under
+// way together when upstreams were lost count once: one cause may have taken all of
+// these upstreams.
+func (q *Quarantine) CrashInTurn(fingerprint string, sent, lost Millis) Verdict {
 	q.mu.Lock()
-	crashes := q.verdicts[fingerprint].crashes + 1
+	entry := q.verdicts[fingerprint]
+	if entry.verdict == VerdictConvicted || (entry.crashes > 0 && sent < entry.lostAt) {
+		q.mu.Unlock()
+		return entry.verdict
+	}
 	verdict := VerdictSuspect
-	if crashes >= ConvictAfterCrashes {
+	if entry.crashes+1 >= ConvictAfterCrashes {
 		verdict = VerdictConvicted
 	}
-	fact := q.store(fingerprint, verdict, crashes)
+	fact := q.store(fingerprint, verdict, entry.crashes+1)
+	entry = q.verdicts[fingerprint]
+	entry.lostAt = lost
+	q.verdicts[fingerprint] = entry
 	q.mu.Unlock()
 	q.notify(fact)
 	return verdict
@@ -110,6 +128,7 @@
 		stamp:   fact.Stamp,
 		crashes: fact.Crashes,
 		at:      q.clock.Now() - fact.Age,
+		lostAt:  q.clock.Now() - fact.Age,
 	}
 }
 
--- a/core/request.go
+++ b/core/request.go
@@ -27,8 +27,13 @@
 
 // Fingerprint identifies requests that make an upstream do the same work.
 func (r Request) Fingerprint() string {
+	return fingerprintOf(r.Collection, r.Kind, r.Key, r.Body)
+}
+
+// fingerprintOf returns a hash of the parts and of where each ends.
+func fingerprintOf(parts ...string) string {
 	digest := xxhash.New()
-	for _, part := range []string{r.Collection, r.Kind, r.Key, r.Body} {
+	for _, part := range parts {
 		_, _ = digest.WriteString(strconv.Itoa(len(part)))
 		_, _ = digest.WriteString(":")
 		_, _ = digest.WriteString(part)
--- a/core/router.go
+++ b/core/router.go
@@ -18,6 +18,8 @@
 	Pause     *PauseGuard
 	Lag       *LagMeter
 	Counters  *Counters
+	// Quarantine keeps the verdicts on requests that crash upstreams.
+	Quarantine *Quarantine
 	// Observe is told of each answer and the time that it took, unless it is nil.
 	Observe func(answer RoutedAnswer, elapsed Millis)
 	Log     logr.Logger
@@ -29,12 +31,17 @@
 	RouterParts
 	table    atomic.Pointer[RouteTable]
 	paces    *paces
+	crashes  *crashWatch
 	inFlight atomic.Int64
 }
 
 // NewRouter returns a router without routes.
 func NewRouter(parts RouterParts) *Router {
-	return &Router{RouterParts: parts, paces: newPaces()}
+	return &Router{
+		RouterParts: parts,
+		paces:       newPaces(),
+		crashes:     &crashWatch{clock: parts.Clock, fleet: parts.Fleet, quarantine: parts.Quarantine},
+	}
 }
 
 // Apply puts the routes of a configuration in force. Requests under way keep to
@@ -79,6 +86,7 @@
 	if err := r.Pause.Await(ctx); err != nil {
 		return refuseRouted(ReasonDeadlinePassed, 0, "the caller has left")
 	}
+	request.fingerprint = request.newFingerprint()
 	answer := r.answer(ctx, request)
 	r.finish(request, answer)
 	return answer
@@ -106,6 +114,9 @@
 	switch {
 	case lag > OverloadRefuseFactor*float64(route.Objective):
 		answer = refuseRouted(ReasonOverloaded, RetrySoonMillis, "this instance is %.0f ms behind", lag)
+	case r.crashes.convicted(request.fingerprint):
+		r.Counters.Add(CountCrashersRefused, 1)
+		answer = refuseRouted(ReasonCrashesUpstreams, 0, "requests with fingerprint %s crash upstreams", request.fingerprint)
 	case deadline <= r.Clock.Now():
 		answer = refuseRouted(ReasonDeadlinePassed, 0, "the deadline has passed")
 	case route.Scattered():
@@ -205,6 +216,9 @@
 		facts = append(facts, "shards", answer.Shards)
 	}
 	merged, scattered := answer.Merged.Get()
+	if answer.Outcome == OutcomeAnswered && merged.Missing == 0 {
+		r.crashes.survived(request.fingerprint)
+	}
 	switch {
 	case answer.Outcome == OutcomeNotRun:
 		r.Counters.Add(CountRefused, 1)
--- a/core/router_test.go
+++ b/core/router_test.go
@@ -129,6 +129,8 @@
 		Clock: f.clock, Fleet: f.fleet, Client: f, Counters: counters, Log: logr.Discard(), Lag: f.lag,
 		Allowance: NewAllowance(f.clock, AllowanceLimit{Ratio: 0.2, Slack: 80, Window: 10 * Second}, 1),
 		Pause:     NewPauseGuard(f.clock, counters, func(context.Context) {}),
+
+		Quarantine: NewQuarantine(f.clock, func(Fact) {}),
 	})
 	f.router.Apply(configuration)
 	return f
