Let strong instances send requests to upstreams for the weak ones

Cause: at the grown sites each of 87 instances learned by itself which of 270 replicas are slow, from 0.6 queries a second, kept connections of its own to all of them and watched the store; 81 of them have 0.192 of a core, of which one query to 90 shards takes 57 ms. Change: each instance tells its capacity to its peers; where some have twice as much as others, or a zone is large, requests are delegated to those by gRPC, under the same configuration version, which is exchanged where they differ. Only these watch the store. An instance without delegates sends by itself, after it has read the list of upstreams. Connections to peers that failed twice are opened anew. Today's sites have equal instances: no change.

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -62,6 +62,7 @@
 			Zone:        settings.Zone,
 			Address:     settings.PeerAddress,
 			Incarnation: clock.NewIncarnation(),
+			Capacity:    settings.Capacity,
 		},
 	}
 	i.facts = core.NewFactLog(clock)
@@ -100,6 +101,8 @@
 	exchangeInterval core.Millis
 	// perInstance times the number of instances is the least exchange interval.
 	perInstance core.Millis
+	// delegate lets instances delegate requests to others.
+	delegate bool
 }
 
 // chooseSources returns the sources for the instance's interface.
@@ -112,9 +115,9 @@
 			probes:           i.routes.upstreams,
 			applyList:        i.routes.applyList,
 			cadence:          routesCadence(i.settings),
-			readersPerZone:   routesReadersPerZone,
 			exchangeInterval: routesExchangeInterval,
 			perInstance:      routesExchangePerInstance,
+			delegate:         true,
 		}
 	}
 	return sources{
@@ -153,6 +156,7 @@
 		ExchangeInterval: sources.exchangeInterval,
 
 		ExchangePerInstance: sources.perInstance,
+		Delegate:            sources.delegate,
 	})
 	i.publications = core.NewPublications(core.PublicationsParts{
 		Clock:    i.clock,
@@ -335,6 +339,14 @@
 	return i.orders.RunForwarded(ctx, ticket, request)
 }
 
+// AnswerDelegated implements peer.Handler. Only routed requests are delegated.
+func (i *instance) AnswerDelegated(ctx context.Context, request core.DelegatedRequest) core.DelegatedAnswer {
+	if i.routes == nil {
+		return core.DelegatedAnswer{Answer: core.RoutedAnswer{Outcome: core.OutcomeNotRun, Reason: core.ReasonNotReady}}
+	}
+	return i.routes.router.AnswerDelegated(ctx, request)
+}
+
 // Mint implements peer.Handler.
 func (i *instance) Mint() core.Ticket {
 	return i.orders.Mint()
--- a/cli/routes.go
+++ b/cli/routes.go
@@ -21,9 +21,6 @@
 	// routesExchangePerInstance keeps the cost of exchanges at an instance, with as
 	// many links as the logarithm of the fleet, below a kilobyte a second.
 	routesExchangePerInstance = 50 * core.Millis(1)
-	// routesReadersPerZone lets every instance of today's deployments watch the
-	// store: its rate allows for it, and a change is in force soonest.
-	routesReadersPerZone = 8
 )
 
 // watchMargin is how long before the end of the time in which a configuration must
@@ -62,7 +59,7 @@
 
 	mu            sync.Mutex
 	configuration core.Configuration
-	// size is how many instances there are.
+	// size is how many instances share connections and repeats.
 	size int
 }
 
@@ -88,8 +85,11 @@
 		Lag:       i.lag,
 		Counters:  i.counters,
 
-		Quarantine: i.quarantine,
-		Log:       i.log,
+		Store:          i.store,
+		Choice:         i.peers,
+		DelegateClient: i.peerClient,
+		Quarantine:     i.quarantine,
+		Log:            i.log,
 	})
 }
 
@@ -141,7 +141,7 @@
 // run drops upstreams whose grace is over and follows the number of instances.
 func (r *routes) run(ctx context.Context) error {
 	for r.instance.clock.Sleep(ctx, rosterTick) == nil {
-		size := r.instance.peers.Size()
+		size := r.instance.sharers()
 		expired := r.roster.Expire()
 		r.mu.Lock()
 		if expired || size != r.size {
@@ -153,6 +153,17 @@
 	return nil
 }
 
+// sharers returns among how many instances connections and repeats are shared. Where
+// some delegate, those that send requests to upstreams leave half to the others, in case
+// that these lose their delegates.
+func (i *instance) sharers() int {
+	size, senders := i.peers.Size(), i.peers.Senders()
+	if senders == size || len(i.peers.Delegates()) > 0 {
+		return size
+	}
+	return min(size, 2*senders)
+}
+
 // serveReady returns the server that answers the balancer.
 func (r *routes) serveReady() *http.Server {
 	return &http.Server{Handler: platform.ReadyHandler(r.instance.readyForMore), ReadHeaderTimeout: readHeaderTimeout}
--- a/core/clock.go
+++ b/core/clock.go
@@ -110,6 +110,12 @@
 	return context.WithTimeout(ctx, (at - c.read()).Duration())
 }
 
+// AfterFunc calls act once the given time has passed, unless the returned function is
+// called before.
+func (c Clock) AfterFunc(wait Millis, act func()) (stop func() bool) {
+	return time.AfterFunc(wait.Duration(), act).Stop
+}
+
 // After returns a channel that signals once the given time has passed.
 func (c Clock) After(wait Millis) <-chan time.Time {
 	return time.After(wait.Duration())
--- a/core/constants.go
+++ b/core/constants.go
@@ -211,6 +211,41 @@
 	ReplyMarginMillis = 15 * Millis(1)
 )
 
+// Instances that send requests to upstreams for others.
+const (
+	// AggregatorStrength times its capacity must be at least the greatest capacity in the
+	// fleet for an instance to send requests to upstreams.
+	AggregatorStrength = 2
+	// AggregatorsPerZone is how many such instances a zone has, unless it has at most
+	// twice as many that could be.
+	AggregatorsPerZone = 8
+	// InstancesPerAggregator is how many instances of a zone share one where that
+	// makes more than AggregatorsPerZone.
+	InstancesPerAggregator = 8
+	// LeastDelegates is how many delegates of its own zone an instance needs to do
+	// without those of other zones.
+	LeastDelegates = 2
+	// MaxDelegates is how many instances one delegates to.
+	MaxDelegates = 3
+	// DelegateExchangeMillis is the pause between two exchanges with a delegate. It
+	// bounds how long one that fell silent gets requests.
+	DelegateExchangeMillis = 1 * Second
+	// delegationMillis is how long the choice of delegates stands, unless one fails.
+	delegationMillis = 200 * Millis(1)
+	// DelegateHopMillis is kept back for the way of a delegated request and its answer
+	// between two instances, of which one has little processor time.
+	DelegateHopMillis = 5 * Millis(1)
+	// DelegateSilenceMillis is how long after its objective a delegated request is
+	// given up if its delegate was not heard since it was sent.
+	DelegateSilenceMillis = 100 * Millis(1)
+	// SettleMillis is how long an instance that begins to send requests to upstreams
+	// waits for its first read of the platform.
+	SettleMillis = 1500 * Millis(1)
+	// ReconnectAfterFailures is after how many failed exchanges in a row a connection
+	// to a peer is opened anew: it may have gone silent for good.
+	ReconnectAfterFailures = 2
+)
+
 // Requests that crash upstreams.
 const (
 	// ConvictAfterCrashes is how many isolated runs must crash before the
--- a/core/counters.go
+++ b/core/counters.go
@@ -17,6 +17,8 @@
 	CountHedges
 	CountHedgeWins
 	CountRetries
+	CountDelegated
+	CountDelegatedHere
 	CountRepeatsRefused
 	CountBadReplies
 	CountForeignReplies
@@ -56,6 +58,8 @@
 	CountHedges:                 "hedges",
 	CountHedgeWins:              "hedgeWins",
 	CountRetries:                "retries",
+	CountDelegated:              "delegated",
+	CountDelegatedHere:          "delegatedHere",
 	CountRepeatsRefused:         "repeatsRefusedByAllowance",
 	CountBadReplies:             "badReplies",
 	CountForeignReplies:         "foreignReplies",
--- a/core/crashwatch.go
+++ b/core/crashwatch.go
@@ -1,7 +1,5 @@
 package core
 
-import "time"
-
 // crashWatch recognises routed requests that crash the upstreams which run them: an
 // attempt lost its connection, the upstream could not be reached afterwards, and the
 // same happened to an attempt that was sent after that.
@@ -15,7 +13,7 @@
 // verdict follows once it is known whether its upstream is gone.
 func (w *crashWatch) lost(fingerprint, upstream string, sent Millis) {
 	lost := w.clock.Now()
-	time.AfterFunc(CrashConfirmMillis.Duration(), func() {
+	w.clock.AfterFunc(CrashConfirmMillis, func() {
 		if w.fleet.Unreachable(upstream) {
 			w.quarantine.CrashInTurn(fingerprint, sent, lost)
 		}
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -12,6 +12,8 @@
 	Address     string
 	Incarnation uint64
 	Leaving     bool
+	// Capacity is the processor time of the instance, in thousandths of a core.
+	Capacity int
 }
 
 // KnownPeer is an instance that was heard of some time ago.
@@ -106,6 +108,10 @@
 		peer.tried = true
 		peer.lastError = err.Error()
 		peer.failuresInRow++
+		p.delegation.until = 0
+		if peer.failuresInRow%ReconnectAfterFailures == 0 {
+			p.Client.Forget(address)
+		}
 		if peer.failuresInRow == lostAfterFailures {
 			p.Log.Info("peer lost", "peer", peer.info.Name, "address", address, "error", err.Error())
 		}
@@ -178,9 +184,26 @@
 		}
 	}
 	rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
+	if p.Delegate {
+		putStrongestFirst(known, KnownPeerSample/2)
+	}
 	return known[:min(len(known), KnownPeerSample)]
 }
 
+// putStrongestFirst moves the given number of instances with the greatest capacity to
+// the front, so that new instances soon know whom to delegate to.
+func putStrongestFirst(known []KnownPeer, count int) {
+	for i := range min(count, len(known)) {
+		strongest := i
+		for j := range known[i:] {
+			if known[i+j].Info.Capacity > known[strongest].Info.Capacity {
+				strongest = i + j
+			}
+		}
+		known[i], known[strongest] = known[strongest], known[i]
+	}
+}
+
 // learn takes in instances that a peer has heard of. The caller holds the lock.
 func (p *Peers) learn(known []KnownPeer) {
 	now := p.Clock.Now()
@@ -193,8 +216,12 @@
 		if !ok {
 			peer = &peerState{address: address}
 			p.peers[address] = peer
+			p.signalLinks()
 		}
 		if heardAt := now - k.Age; heardAt > peer.heardAt {
+			if k.Info.Incarnation != peer.info.Incarnation {
+				peer.failuresInRow = 0
+			}
 			peer.info = k.Info
 			peer.heardAt = heardAt
 		}
@@ -240,6 +267,9 @@
 func (p *Peers) absorb(address string, message Exchange) {
 	p.mu.Lock()
 	if peer, ok := p.peers[address]; ok {
+		if peer.failuresInRow > 0 || peer.info.Leaving != message.From.Leaving {
+			p.delegation.until = 0
+		}
 		if peer.failuresInRow >= lostAfterFailures || peer.info.Incarnation != message.From.Incarnation {
 			p.Log.Info("peer heard", "peer", message.From.Name, "address", address, "incarnation", message.From.Incarnation)
 		}
--- a/core/message.go
+++ b/core/message.go
@@ -46,6 +46,25 @@
 	return fingerprintOf(r.Message.Host, r.Message.Method, r.Message.Target, string(r.Message.Body))
 }
 
+// DelegatedRequest is a routed request that one instance has another one answer.
+type DelegatedRequest struct {
+	Request RoutedRequest
+	// ConfigurationVersion is the configuration that the request is answered under.
+	ConfigurationVersion uint64
+	// Configuration is set when the receiver has said that it lacks it.
+	Configuration []byte
+	// Elapsed is how long ago the request arrived, and Left the time for its answer.
+	Elapsed Millis
+	Left    Millis
+}
+
+// DelegatedAnswer is the answer to a delegated request.
+type DelegatedAnswer struct {
+	Answer RoutedAnswer
+	// Configuration is the one in force, when it is newer than the request's.
+	Configuration []byte
+}
+
 // RoutedReply is a whole reply of an upstream to a routed request.
 type RoutedReply struct {
 	Status int
@@ -100,6 +119,8 @@
 	MoveOn bool
 	// Attempts is the number of requests sent to upstreams.
 	Attempts int
+	// Delegate is the instance that sent them, if it was another one.
+	Delegate string
 }
 
 // MergedReply is the merged answer of several shards.
--- a/core/peers.go
+++ b/core/peers.go
@@ -37,6 +37,8 @@
 	ExchangeInterval Millis
 	// ExchangePerInstance times the number of instances is the least pause.
 	ExchangePerInstance Millis
+	// Delegate lets an instance delegate requests to others that send them to upstreams.
+	Delegate bool
 	// Apply takes in a fact that was new.
 	Apply func(Fact)
 }
@@ -55,6 +57,9 @@
 	fetching Millis
 	// fetchingList is the same for an instance list.
 	fetchingList Millis
+	delegation   delegation
+	// relink signals that an instance was heard of for the first time.
+	relink chan struct{}
 }
 
 // peerState is what is known of one peer.
@@ -84,7 +89,7 @@
 // NewPeers returns a view that knows the seeds only.
 func NewPeers(parts PeersParts) *Peers {
 	parts.Seeds = slices.Clone(parts.Seeds)
-	p := &Peers{PeersParts: parts, peers: map[string]*peerState{}, tasks: map[string]peerTask{}}
+	p := &Peers{PeersParts: parts, peers: map[string]*peerState{}, tasks: map[string]peerTask{}, relink: make(chan struct{}, 1)}
 	for _, address := range parts.Seeds {
 		if address != parts.Self.Address {
 			p.peers[address] = &peerState{address: address}
@@ -120,6 +125,8 @@
 			p.kickAll()
 		case <-published:
 			p.kickAll()
+		case <-p.relink:
+			_ = p.Clock.Sleep(ctx, relinkPauseMillis)
 		case <-p.Clock.After(2 * p.ExchangeInterval):
 		case <-ctx.Done():
 			return group.Wait()
@@ -127,6 +134,17 @@
 	}
 }
 
+// relinkPauseMillis lets several instances that were heard of be linked at once.
+const relinkPauseMillis = 100 * Millis(1)
+
+// signalLinks has the links be worked out anew.
+func (p *Peers) signalLinks() {
+	select {
+	case p.relink <- struct{}{}:
+	default:
+	}
+}
+
 func (p *Peers) kickAll() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -201,8 +219,13 @@
 
 // links returns the peers to exchange with: all of a small fleet, else those at
 // growing distances on a ring, so that news reaches all in a logarithmic number
-// of exchanges.
+// of exchanges. Where some instances delegate requests, they are linked differently.
 func (p *Peers) links() []string {
+	if p.Delegate && len(p.peers) > MaxPeerLinks {
+		if links := p.delegationLinks(); len(links) > 0 {
+			return RingLinks(p.Self.Address, links, MaxPeerLinks)
+		}
+	}
 	addresses := make([]string, 0, len(p.peers)+1)
 	for address := range p.peers {
 		addresses = append(addresses, address)
@@ -214,7 +237,7 @@
 func (p *Peers) serve(ctx context.Context, address string, kick <-chan struct{}) {
 	for ctx.Err() == nil {
 		err := p.exchange(ctx, address)
-		pause := max(p.ExchangeInterval, Millis(p.Size())*p.ExchangePerInstance)
+		pause := p.pause()
 		if err != nil {
 			pause = p.backoff(address)
 		}
@@ -226,6 +249,14 @@
 	}
 }
 
+// pause returns the time between two exchanges with one peer.
+func (p *Peers) pause() Millis {
+	if len(p.Delegates()) > 0 {
+		return DelegateExchangeMillis
+	}
+	return max(p.ExchangeInterval, Millis(p.Senders())*p.ExchangePerInstance)
+}
+
 func (p *Peers) backoff(address string) Millis {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -327,6 +358,9 @@
 // Reader reports whether this instance is one of those in its zone that watch
 // the platform. Views may differ; then a few more or fewer watch.
 func (p *Peers) Reader() bool {
+	if p.Delegate {
+		return len(p.Delegates()) == 0
+	}
 	rank := func(name string) uint64 { return xxhash.Sum64String("reader/" + name) }
 	self := rank(p.Self.Name)
 	before := 0
--- a/core/peers_test.go
+++ b/core/peers_test.go
@@ -16,6 +16,8 @@
 	mu    sync.Mutex
 	asked Set[string]
 	down  Set[string]
+	// forgotten are the addresses whose connections were closed.
+	forgotten []string
 }
 
 func (f *fakePeers) Exchange(_ context.Context, address string, _ Exchange) (Exchange, error) {
@@ -32,8 +34,29 @@
 	}, nil
 }
 
-func (f *fakePeers) Forget(string)    {}
 func (f *fakePeers) Reachable(string) {}
+func (f *fakePeers) Forget(address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.forgotten = append(f.forgotten, address)
+}
+
+// TestSilentPeers covers a connection to a peer that went silent for good, as new ones
+// would work: it is closed after two failures in a row, and again after two more.
+func TestSilentPeers(t *testing.T) {
+	client := &fakePeers{asked: NewSet[string](), down: NewSet("127.0.0.1:7000")}
+	peers, _ := newPeers(client, 1, func(Fact) {})
+	for i, closed := range []int{0, 1, 1, 2} {
+		_ = peers.exchange(context.Background(), "127.0.0.1:7000")
+		if len(client.forgotten) != closed {
+			t.Errorf("closed %d times after %d failures, want %d", len(client.forgotten), i+1, closed)
+		}
+	}
+	client.down = NewSet[string]()
+	if err := peers.exchange(context.Background(), "127.0.0.1:7000"); err != nil || len(client.forgotten) != 2 {
+		t.Errorf("%v, closed %d times", err, len(client.forgotten))
+	}
+}
 
 func newPeers(client *fakePeers, count int, applied func(Fact)) (*Peers, *Store) {
 	clock := NewClock()
--- a/core/request.go
+++ b/core/request.go
@@ -70,16 +70,19 @@
 	ReasonDuplicateID       Reason = "duplicateRequestId"
 	ReasonOverloaded        Reason = "overloaded"
 	ReasonNotReady          Reason = "notReady"
-	ReasonNoSnapshot        Reason = "noSnapshot"
-	ReasonNoUpstream        Reason = "noUpstream"
-	ReasonCrashesUpstreams  Reason = "crashesUpstreams"
-	ReasonTicketInvalid     Reason = "ticketInvalid"
-	ReasonTicketExpired     Reason = "ticketExpired"
-	ReasonTicketReused      Reason = "ticketReused"
-	ReasonHomeLost          Reason = "ticketHomeLost"
-	ReasonUpstreamRefused   Reason = "upstreamRefused"
-	ReasonConnectionLost    Reason = "connectionLost"
-	ReasonTimeout           Reason = "timeout"
+	// ReasonOtherConfiguration is given to a peer only: it has another configuration in
+	// force than the instance that it delegates a request to.
+	ReasonOtherConfiguration Reason = "otherConfiguration"
+	ReasonNoSnapshot         Reason = "noSnapshot"
+	ReasonNoUpstream         Reason = "noUpstream"
+	ReasonCrashesUpstreams   Reason = "crashesUpstreams"
+	ReasonTicketInvalid      Reason = "ticketInvalid"
+	ReasonTicketExpired      Reason = "ticketExpired"
+	ReasonTicketReused       Reason = "ticketReused"
+	ReasonHomeLost           Reason = "ticketHomeLost"
+	ReasonUpstreamRefused    Reason = "upstreamRefused"
+	ReasonConnectionLost     Reason = "connectionLost"
+	ReasonTimeout            Reason = "timeout"
 )
 
 // Record is one record of a collection as an upstream returned it.
--- a/core/router.go
+++ b/core/router.go
@@ -18,6 +18,11 @@
 	Pause     *PauseGuard
 	Lag       *LagMeter
 	Counters  *Counters
+	// Store holds the configuration in force.
+	Store *Store
+	// Choice says which instances requests are delegated to, by DelegateClient.
+	Choice         DelegateChoice
+	DelegateClient DelegateClient
 	// Quarantine keeps the verdicts on requests that crash upstreams.
 	Quarantine *Quarantine
 	// Observe is told of each answer and the time that it took, unless it is nil.
@@ -63,6 +68,9 @@
 	if table == nil {
 		return false
 	}
+	if len(r.Choice.Delegates()) > 0 {
+		return true
+	}
 	scattered := 0
 	for _, routes := range table.hosts {
 		for _, route := range routes {
@@ -92,42 +100,69 @@
 	return answer
 }
 
+// maxConfigurationRounds is how often a request is routed anew because a newer
+// configuration was learned on its way.
+const maxConfigurationRounds = 3
+
 func (r *Router) answer(ctx context.Context, request RoutedRequest) RoutedAnswer {
-	table := r.table.Load()
-	if table == nil {
-		return refuseRouted(ReasonNotReady, RetryLaterMillis, "no configuration is in force")
+	for range maxConfigurationRounds {
+		table := r.table.Load()
+		if table == nil {
+			return refuseRouted(ReasonNotReady, RetryLaterMillis, "no configuration is in force")
+		}
+		if answer, renewed := r.answerUnder(ctx, table, request); !renewed {
+			return answer
+		}
 	}
+	return refuseRouted(ReasonNotReady, RetrySoonMillis, "configurations change")
+}
+
+// answerUnder answers a request under one configuration. renewed is set when a newer one
+// was learned before the request was run.
+func (r *Router) answerUnder(ctx context.Context, table *RouteTable, request RoutedRequest) (answer RoutedAnswer, renewed bool) {
 	route, ok := table.Match(request.Message.Host, request.Message.Path())
 	if !ok {
 		answer := refuseRouted(ReasonUnknownRoute, 0, "no route for host %q", request.Message.Host)
 		answer.ConfigurationVersion = table.version
-		return answer
+		return answer, false
 	}
-	deadline := request.Arrived + route.Timeout
+	g := &routing{router: r, request: request, table: table, route: route, deadline: request.Arrived + route.Timeout}
 	if request.Deadline != 0 {
-		deadline = min(deadline, request.Deadline)
+		g.deadline = min(g.deadline, request.Deadline)
 	}
+	answer, renewed = g.answer(ctx)
+	answer.Route = route.Name
+	answer.ConfigurationVersion = table.version
+	answer.MoveOn = answer.MoveOn || r.Lag.Overloaded()
+	return answer, renewed
+}
+
+// answer refuses what can't be served, and has upstreams or other instances answer the rest.
+func (g *routing) answer(ctx context.Context) (answer RoutedAnswer, renewed bool) {
+	r := g.router
 	// The request has waited to be read for about as long as the process is behind.
 	lag := r.Lag.Lag()
-	deadline -= ReplyMarginMillis + Millis(lag)
-	var answer RoutedAnswer
+	g.deadline -= ReplyMarginMillis + Millis(lag)
+	delegates := r.Choice.Delegates()
 	switch {
-	case lag > OverloadRefuseFactor*float64(route.Objective):
+	case lag > OverloadRefuseFactor*float64(g.route.Objective):
 		answer = refuseRouted(ReasonOverloaded, RetrySoonMillis, "this instance is %.0f ms behind", lag)
-	case r.crashes.convicted(request.fingerprint):
+	case r.crashes.convicted(g.request.fingerprint):
 		r.Counters.Add(CountCrashersRefused, 1)
-		answer = refuseRouted(ReasonCrashesUpstreams, 0, "requests with fingerprint %s crash upstreams", request.fingerprint)
-	case deadline <= r.Clock.Now():
+		answer = refuseRouted(ReasonCrashesUpstreams, 0, "requests with fingerprint %s crash upstreams", g.request.fingerprint)
+	case g.deadline <= r.Clock.Now():
 		answer = refuseRouted(ReasonDeadlinePassed, 0, "the deadline has passed")
-	case route.Scattered():
-		answer = r.scatter(ctx, route, request, deadline)
+	case len(delegates) > 0:
+		r.Counters.Add(CountDelegated, 1)
+		return g.delegate(ctx, delegates)
+	case r.Choice.Settling():
+		answer = refuseRouted(ReasonNotReady, RetrySoonMillis, "the list of upstreams is being read")
+	case g.route.Scattered():
+		answer = r.scatter(ctx, g.route, g.request, g.deadline)
 	default:
-		answer = r.forward(ctx, route, request, deadline)
+		answer = r.forward(ctx, g.route, g.request, g.deadline)
 	}
-	answer.Route = route.Name
-	answer.ConfigurationVersion = table.version
-	answer.MoveOn = answer.MoveOn || r.Lag.Overloaded()
-	return answer
+	return answer, false
 }
 
 // forward has one upstream of one destination answer the request.
@@ -201,38 +236,47 @@
 	}
 }
 
-// finish counts an answer, and writes a line about one that is not whole or late.
+// finish counts the answer to a caller and writes it down.
 func (r *Router) finish(request RoutedRequest, answer RoutedAnswer) {
-	elapsed := r.Clock.Since(request.Arrived)
 	if r.Observe != nil {
-		r.Observe(answer, elapsed)
-	}
-	facts := []any{"route", answer.Route, "configuration", answer.ConfigurationVersion,
-		"attempts", answer.Attempts, "elapsedMillis", int64(elapsed)}
-	if answer.Service != "" {
-		facts = append(facts, "service", answer.Service)
+		r.Observe(answer, r.Clock.Since(request.Arrived))
 	}
-	if answer.Shards != "" {
-		facts = append(facts, "shards", answer.Shards)
+	merged, _ := answer.Merged.Get()
+	switch {
+	case answer.Outcome == OutcomeNotRun:
+		r.Counters.Add(CountRefused, 1)
+	case answer.Outcome != OutcomeAnswered:
+		r.Counters.Add(CountUnknown, 1)
+	default:
+		r.Counters.Add(CountAnswered, 1)
+		if merged.Missing > 0 {
+			r.Counters.Add(CountPartial, 1)
+		}
 	}
-	merged, scattered := answer.Merged.Get()
-	if answer.Outcome == OutcomeAnswered && merged.Missing == 0 {
-		r.crashes.survived(request.fingerprint)
+	r.report(request, answer)
+}
+
+// report writes a line about an answer that is not whole, and takes in that a request
+// with a whole one does not crash upstreams.
+func (r *Router) report(request RoutedRequest, answer RoutedAnswer) {
+	facts := []any{"route", answer.Route, "configuration", answer.ConfigurationVersion,
+		"attempts", answer.Attempts, "elapsedMillis", int64(r.Clock.Since(request.Arrived))}
+	for name, value := range map[string]string{"service": answer.Service, "shards": answer.Shards, "delegate": answer.Delegate} {
+		if value != "" {
+			facts = append(facts, name, value)
+		}
 	}
+	merged, _ := answer.Merged.Get()
 	switch {
 	case answer.Outcome == OutcomeNotRun:
-		r.Counters.Add(CountRefused, 1)
 		r.story(request, "refused", append(facts, "reason", string(answer.Reason), "detail", answer.Detail,
 			"retryAfterMillis", int64(answer.RetryAfter), "lagMillis", r.Lag.Lag())...)
 	case answer.Outcome != OutcomeAnswered:
-		r.Counters.Add(CountUnknown, 1)
 		r.story(request, "outcome unknown", append(facts, "reason", string(answer.Reason), "detail", answer.Detail)...)
-	case scattered && merged.Missing > 0:
-		r.Counters.Add(CountAnswered, 1)
-		r.Counters.Add(CountPartial, 1)
+	case merged.Missing > 0:
 		r.story(request, "answered in part", append(facts, "missing", merged.Missing)...)
 	default:
-		r.Counters.Add(CountAnswered, 1)
+		r.crashes.survived(request.fingerprint)
 		r.Log.V(1).Info("answered", append([]any{"request", request.ID}, facts...)...)
 	}
 }
--- a/core/router_test.go
+++ b/core/router_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -60,6 +61,7 @@
 	router  *Router
 	lag     *LagMeter
 	started Millis
+	choice  fakeDelegates
 
 	mu         sync.Mutex
 	behaviours map[string]behaviour
@@ -125,17 +127,41 @@
 		f.fleet.ObserveListed(target.Name, 1, PhaseLive)
 	}
 	counters := NewCounters()
+	store := NewStore(f.clock, fixtureDecoder{configuration: configuration}, counters)
 	f.router = NewRouter(RouterParts{
 		Clock: f.clock, Fleet: f.fleet, Client: f, Counters: counters, Log: logr.Discard(), Lag: f.lag,
 		Allowance: NewAllowance(f.clock, AllowanceLimit{Ratio: 0.2, Slack: 80, Window: 10 * Second}, 1),
 		Pause:     NewPauseGuard(f.clock, counters, func(context.Context) {}),
 
 		Quarantine: NewQuarantine(f.clock, func(Fact) {}),
+
+		Store: store, Choice: &f.choice, DelegateClient: &f.choice,
 	})
-	f.router.Apply(configuration)
+	store.OnConfiguration(f.router.Apply)
+	f.publish(configuration.Version)
 	return f
 }
 
+// fixtureDecoder reads documents that are version numbers of one configuration.
+type fixtureDecoder struct {
+	Decoder
+	configuration Configuration
+}
+
+func (d fixtureDecoder) Configuration(raw []byte) (Configuration, error) {
+	version, err := strconv.ParseUint(string(raw), 10, 64)
+	configuration := d.configuration
+	configuration.Version, configuration.Raw = version, raw
+	return configuration, err
+}
+
+// publish offers the configuration under a version.
+func (f *routerFixture) publish(version uint64) {
+	if _, err := f.router.Store.OfferConfiguration([]byte(strconv.FormatUint(version, 10)), "platform"); err != nil {
+		panic(err)
+	}
+}
+
 func (f *routerFixture) ask(ctx context.Context) RoutedAnswer {
 	return f.router.Route(ctx, RoutedRequest{
 		ID: "id", Arrived: f.clock.Now(), Message: Message{Method: "GET", Host: "h", Target: "/p/1?q"},
--- a/core/store.go
+++ b/core/store.go
@@ -195,6 +195,16 @@
 	return s.inForce.Get()
 }
 
+// rawConfiguration returns the document of the configuration in force if it has the
+// given version.
+func (s *Store) rawConfiguration(version uint64) []byte {
+	inForce, _ := s.Current()
+	if inForce.Configuration.Version != version {
+		return nil
+	}
+	return inForce.Configuration.Raw
+}
+
 // List returns the newest instance list.
 func (s *Store) List() InstanceList {
 	s.mu.RLock()
--- a/io/operator/settings.go
+++ b/io/operator/settings.go
@@ -59,7 +59,9 @@
 	// ConfigurationInForce is how soon a published configuration must be in force.
 	ConfigurationInForce core.Millis
 	// Repeats limits repeated requests to upstreams, for InterfaceRoutes.
-	Repeats  core.AllowanceLimit
+	Repeats core.AllowanceLimit
+	// Capacity is the processor time of the instance, in thousandths of a core.
+	Capacity int
 	LogLevel string
 	Policy   core.Policy
 }
@@ -100,6 +102,7 @@
 	if settings.Interface == InterfaceRoutes {
 		settings.ReadyAddress = root.Field("readyAddress").Address()
 		settings.Repeats = readRepeats(root.Field("repeats"))
+		settings.Capacity = readCapacity(root.Field("processor"))
 	}
 	if level := root.Field("logLevel"); level.Present() {
 		settings.LogLevel = level.OneOf(levelNames()...)
@@ -114,6 +117,24 @@
 	return settings, nil
 }
 
+const (
+	// maxSpeed bounds the speed of a processor, in usual cores.
+	maxSpeed = 1024
+	// capacityUnit is how many units of capacity make one usual core.
+	capacityUnit = 1000
+)
+
+// readCapacity returns the share of a core times its speed, or that of one usual core
+// where the settings don't say.
+func readCapacity(node *jsondoc.Node) int {
+	if !node.Present() {
+		return capacityUnit
+	}
+	capacity := node.Field("share").Float(0, 1) * node.Field("speed").Float(0, maxSpeed)
+	node.Close()
+	return int(capacity * capacityUnit)
+}
+
 // maxRepeats bounds the figures of the limit on repeats.
 const maxRepeats = 1_000_000
 
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -70,6 +70,7 @@
 		Address:     info.Address,
 		Incarnation: info.Incarnation,
 		Leaving:     info.Leaving,
+		Capacity:    uint32(info.Capacity),
 	}
 }
 
@@ -80,6 +81,7 @@
 		Address:     wire.GetAddress(),
 		Incarnation: wire.GetIncarnation(),
 		Leaving:     wire.GetLeaving(),
+		Capacity:    int(wire.GetCapacity()),
 	}
 }
 
--- /dev/null
+++ b/io/peer/delegate_test.go
@@ -0,0 +1,127 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"acaciavane/core"
+	"acaciavane/io/peer/peerpb"
+)
+
+func TestDelegatedRequests(t *testing.T) {
+	request := core.DelegatedRequest{
+		Request: core.RoutedRequest{ID: "id", Message: core.Message{
+			Method: "POST", Host: "h", Target: "/a//b/../\xff?q=\xfe",
+			Fields: []core.Field{{Name: "X-A", Value: "\xfc"}, {Name: "X-A", Value: "2"}}, Body: []byte{0, 255},
+		}},
+		ConfigurationVersion: 4, Configuration: []byte("c"), Elapsed: 5, Left: 60,
+	}
+	answers := map[string]core.DelegatedAnswer{
+		"of one upstream": {Answer: core.RoutedAnswer{
+			Outcome: core.OutcomeAnswered, Route: "r", Service: "s", Attempts: 2, ConfigurationVersion: 4,
+			Reply: core.Some(core.RoutedReply{Status: 500, Fields: []core.Field{{Name: "X-S", Value: "\xfb"}}, Body: []byte("b")}),
+		}},
+		"of several shards": {Answer: core.RoutedAnswer{
+			Outcome: core.OutcomeAnswered, Shards: "s1:sent",
+			Merged: core.Some(core.MergedReply{Signatures: []string{"a", "b"}, Missing: 1, Records: []byte("0123456789abcdef")}),
+		}},
+		"that refuses": {
+			Answer:        core.RoutedAnswer{Outcome: core.OutcomeNotRun, Reason: core.ReasonOtherConfiguration, Detail: "d", RetryAfter: 20, MoveOn: true},
+			Configuration: []byte("newer"),
+		},
+	}
+	Convey("Given two instances", t, func() {
+		f := newFixture()
+		defer f.close()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		for name, answer := range answers {
+			Convey("a request arrives byte for byte, and so does an answer "+name, func() {
+				f.handler.delegatedAnswer = answer
+				got, err := f.client.Delegate(ctx, f.address, request)
+				So(err, ShouldBeNil)
+				So(got, ShouldResemble, answer)
+				So(f.handler.delegated, ShouldResemble, request)
+			})
+		}
+		Convey("an answer that says nothing is none, and proves nothing", func() {
+			f.handler.delegatedAnswer = core.DelegatedAnswer{Answer: core.RoutedAnswer{Outcome: core.OutcomeAnswered}}
+			_, err := f.client.Delegate(ctx, f.address, request)
+			So(errors.Is(err, ErrMalformed), ShouldBeTrue)
+			So(errors.Is(err, core.ErrNotDelivered), ShouldBeFalse)
+		})
+		Convey("a malformed request is refused, counted and certainly not run", func() {
+			_, err := f.client.Delegate(ctx, f.address, core.DelegatedRequest{})
+			So(errors.Is(err, core.ErrNotDelivered), ShouldBeTrue)
+			So(f.counters.Get(core.CountPeerGarbage), ShouldEqual, 1)
+		})
+	})
+	Convey("A request is certainly not delivered to a peer that is gone", t, func() {
+		f := newFixture()
+		f.close()
+		client := New(core.NewClock(), f.counters, &net.Dialer{})
+		defer client.Close()
+		_, err := client.Delegate(context.Background(), f.address, request)
+		So(errors.Is(err, core.ErrNotDelivered), ShouldBeTrue)
+	})
+	Convey("Nothing is known of a request after whose delivery the connection broke", t, func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		ran := make(chan struct{})
+		handler := &breakingHandler{fakeHandler: &fakeHandler{}, ran: ran}
+		server := NewServer(core.NewClock(), handler, core.NewCounters(), logr.Discard())
+		go func() { _ = server.Serve(listener) }()
+		go func() {
+			<-ran
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			server.Stop(ctx)
+		}()
+		client := New(core.NewClock(), core.NewCounters(), &net.Dialer{})
+		defer client.Close()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		_, err = client.Delegate(ctx, listener.Addr().String(), request)
+		So(err, ShouldNotBeNil)
+		So(errors.Is(err, core.ErrNotDelivered), ShouldBeFalse)
+	})
+}
+
+// breakingHandler never answers a delegated request.
+type breakingHandler struct {
+	*fakeHandler
+	ran chan struct{}
+}
+
+func (b *breakingHandler) AnswerDelegated(ctx context.Context, _ core.DelegatedRequest) core.DelegatedAnswer {
+	close(b.ran)
+	<-ctx.Done()
+	return core.DelegatedAnswer{}
+}
+
+func FuzzRoutedMessages(f *testing.F) {
+	f.Add("id", "GET", "/p", int64(1), int64(1), "answered", true)
+	f.Add("", "", "", int64(-1), int64(0), "x", false)
+	f.Fuzz(func(t *testing.T, id, method, target string, elapsed, left int64, outcome string, merged bool) {
+		request, err := fromRoutedRequest(&peerpb.RoutedRequest{
+			Id: []byte(id), Method: method, Target: []byte(target), ElapsedMillis: elapsed, LeftMillis: left,
+		})
+		if err == nil && (request.Left <= 0 || request.Elapsed < 0 || request.Request.ID != id) {
+			t.Errorf("got %+v", request)
+		}
+		wire := &peerpb.RoutedAnswer{Outcome: outcome}
+		if merged {
+			wire.Merged = &peerpb.MergedReply{}
+		}
+		answer, err := fromRoutedAnswer(wire)
+		if _, has := answer.Answer.Merged.Get(); err == nil && has != (answer.Answer.Outcome == core.OutcomeAnswered) {
+			t.Errorf("got %+v", answer)
+		}
+	})
+}
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -24,6 +24,9 @@
 	book     core.BookCopy
 	answer   core.Answer
 	leaving  bool
+	// delegated is the last delegated request, and delegatedAnswer its answer.
+	delegated       core.DelegatedRequest
+	delegatedAnswer core.DelegatedAnswer
 }
 
 func (f *fakeHandler) Receive(message core.Exchange) core.Exchange {
@@ -36,6 +39,11 @@
 	return f.answer
 }
 
+func (f *fakeHandler) AnswerDelegated(_ context.Context, request core.DelegatedRequest) core.DelegatedAnswer {
+	f.delegated = request
+	return f.delegatedAnswer
+}
+
 func (f *fakeHandler) Mint() core.Ticket        { return f.ticket }
 func (f *fakeHandler) Adopt(book core.BookCopy) { f.book = book }
 func (f *fakeHandler) Leaving() bool            { return f.leaving }
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -20,6 +20,7 @@
 	RunForwarded(ctx context.Context, ticket core.Ticket, request core.Request) core.Answer
 	Mint() core.Ticket
 	Adopt(book core.BookCopy)
+	AnswerDelegated(ctx context.Context, request core.DelegatedRequest) core.DelegatedAnswer
 	// Leaving reports whether the instance is being stopped.
 	Leaving() bool
 }
