Send nothing for a shard after the answer was closed

Ruled out: a permit that had waited (it is checked when it is used). Change: an attempt starts only while its request is waited for. Before: one attempt after the end; after: none (TestNothingIsSentAfterTheAnswer, which failed before).

--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -252,6 +252,10 @@
 // last ruled out.
 func (r *Router) acquire(ctx context.Context, want Want, checked Millis) (*Permit, error) {
 	for {
+		// The answer may have been closed before this shard's task began.
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
 		permit, err := r.Fleet.Acquire(ctx, want)
 		if err != nil {
 			return nil, err
--- a/core/router_test.go
+++ b/core/router_test.go
@@ -323,6 +323,25 @@
 	}
 }
 
+// TestNothingIsSentAfterTheAnswer covers the load of an instance that is behind: the
+// answer is closed before the tasks of some shards have begun.
+func TestNothingIsSentAfterTheAnswer(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newRouterFixture(1, 2, scatteredRoute(1, 1))
+		closed, cancel := context.WithCancel(context.Background())
+		cancel()
+		d := &dispatch{
+			router: f.router, route: scatteredRoute(1, 1), request: RoutedRequest{Arrived: f.clock.Now()}, service: "s0",
+			deadline: f.clock.Now() + Second, patience: f.clock.Now() + 100, work: context.Background(),
+		}
+		_, failure := d.run(closed)
+		synctest.Wait()
+		if failure == nil || len(f.sentTo()) > 0 {
+			t.Errorf("sent to %v", f.sentTo())
+		}
+	})
+}
+
 // TestUnreachableShardsAreRefusedAtOnce covers a zone without shards of its own
 // that is cut off: the first callers wait until that is known, all later ones are
 // told at once that nothing ran, until probes reach the upstreams again.
