--- a/core/aggregators.go
+++ b/core/aggregators.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -109,30 +108,6 @@
 	p.kick(address)
 }
 
-// SendersIn implements DelegateChoice.
-func (p *Peers) SendersIn(zones Set[string]) []PeerInfo {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	usable := p.known(func(peer *peerState) bool { return peer.failuresInRow == 0 })
-	var senders []PeerInfo
-	for zone, aggregators := range aggregatorsByZone(append([]PeerInfo{p.Self}, usable...)) {
-		if zones.Has(zone) {
-			senders = append(senders, aggregators...)
-		}
-	}
-	rand.Shuffle(len(senders), func(i, j int) { senders[i], senders[j] = senders[j], senders[i] })
-	return senders
-}
-
-// Heard records that a peer answered a delegated request.
-func (p *Peers) Heard(address string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if peer, ok := p.peers[address]; ok {
-		peer.heardAt = p.Clock.Now()
-	}
-}
-
 // HeardSince reports whether a peer was heard after the given time.
 func (p *Peers) HeardSince(address string, at Millis) bool {
 	p.mu.Lock()
--- a/core/constants.go
+++ b/core/constants.go
@@ -238,11 +238,6 @@
 	// DelegateSilenceMillis is how long after its objective a delegated request is
 	// given up if its delegate was not heard since it was sent.
 	DelegateSilenceMillis = 100 * Millis(1)
-	// MaxRemoteGathers is how many instances of better placed zones are tried before
-	// the shards are asked from here.
-	MaxRemoteGathers = 2
-	// DelegatedLateWeight is for how many attempts a late delegated request counts.
-	DelegatedLateWeight = 3
 	// SettleMillis is how long an instance that begins to send requests to upstreams
 	// waits for its first read of the platform.
 	SettleMillis = 1500 * Millis(1)
--- a/core/delegate.go
+++ b/core/delegate.go
@@ -20,10 +20,6 @@
 	// instance sends requests to upstreams itself.
 	Delegates() []PeerInfo
 	DelegateFailed(address string, err error)
-	// SendersIn returns instances of the given zones that send requests to upstreams, in
-	// an order drawn anew for each request.
-	SendersIn(zones Set[string]) []PeerInfo
-	Heard(address string)
 	HeardSince(address string, at Millis) bool
 	// Settling reports whether what is known of upstreams is too old to send them requests.
 	Settling() bool
@@ -36,8 +32,6 @@
 	table    *RouteTable
 	route    Route
 	deadline Millis
-	// delegated is set for a request of another instance.
-	delegated bool
 }
 
 // delegate has other instances answer the request, one after the other until one of
@@ -90,7 +84,9 @@
 	sent := clock.Now()
 	limited, cancel := clock.WithDeadline(ctx, g.deadline)
 	defer cancel()
-	defer g.watch(delegate, sent, cancel)()
+	if g.route.Idempotent {
+		defer g.watch(delegate, sent, cancel)()
+	}
 	reply, err := g.router.DelegateClient.Delegate(limited, delegate.Address, DelegatedRequest{
 		Request:              g.request,
 		ConfigurationVersion: g.table.version,
@@ -98,33 +94,21 @@
 		Elapsed:              sent - g.request.Arrived,
 		Left:                 g.deadline - sent,
 	})
-	if err == nil {
-		g.router.Choice.Heard(delegate.Address)
-		g.router.Fleet.ZoneHeard(delegate.Zone)
-	}
 	if err != nil && ctx.Err() == nil && (clock.Now() < g.deadline || !g.router.Choice.HeardSince(delegate.Address, sent)) {
 		g.router.Choice.DelegateFailed(delegate.Address, err)
 	}
 	return reply, err
 }
 
-// watch concludes from silence: if the delegate has not been heard for a while, its zone
-// may be cut off, and some time after the objective of the route the call is cancelled. One
-// of a request that may not be repeated goes on. The returned function ends the watch.
+// watch calls cancel if the delegate has not been heard until some time after the
+// objective of the route. The returned function ends the watch.
 func (g *routing) watch(delegate PeerInfo, sent Millis, cancel func()) func() {
-	clock, choice := g.router.Clock, g.router.Choice
-	late := clock.AfterFunc(ZoneSilentMillis, func() {
-		onTime := clock.Since(sent)-ZoneSilentMillis < TimerSlackMillis
-		if onTime && !choice.HeardSince(delegate.Address, sent) {
-			g.router.Fleet.ZoneLate(delegate.Zone, sent)
-		}
-	})
-	silent := clock.AfterFunc(g.route.Objective+DelegateSilenceMillis, func() {
-		if g.route.Idempotent && !choice.HeardSince(delegate.Address, sent) {
+	stop := g.router.Clock.AfterFunc(g.route.Objective+DelegateSilenceMillis, func() {
+		if !g.router.Choice.HeardSince(delegate.Address, sent) {
 			cancel()
 		}
 	})
-	return func() { late(); silent() }
+	return func() { stop() }
 }
 
 // AnswerDelegated answers a request of another instance. ctx ends when that one does
@@ -153,8 +137,7 @@
 	if table == nil || table.version != delegated.ConfigurationVersion {
 		return r.refuseConfiguration(table, delegated.ConfigurationVersion)
 	}
-	g := &routing{router: r, request: request, table: table, delegated: true}
-	answer, _ := g.run(ctx)
+	answer, _ := r.answerUnder(ctx, table, request)
 	r.report(request, answer)
 	return DelegatedAnswer{Answer: answer}
 }
--- a/core/delegate_test.go
+++ b/core/delegate_test.go
@@ -5,18 +5,12 @@
 	"errors"
 	"fmt"
 	"slices"
-	"strings"
-	"sync"
 	"testing"
-	"time"
 )
 
 // fakeDelegates are instances that answer delegated requests as told.
 type fakeDelegates struct {
-	mu sync.Mutex
-	to []PeerInfo
-	// peers are all other instances.
-	peers  []PeerInfo
+	to     []PeerInfo
 	answer map[string]func(ctx context.Context, request DelegatedRequest) (DelegatedAnswer, error)
 	// asked are the names of those that got calls, failed those that were reported.
 	asked    []string
@@ -25,40 +19,14 @@
 	settling bool
 }
 
-func (f *fakeDelegates) Delegates() []PeerInfo { return f.to }
-func (f *fakeDelegates) DelegateFailed(address string, _ error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.failed = append(f.failed, address)
-}
-
-// act sets what an instance does with delegated requests from now on.
-func (f *fakeDelegates) act(address string, act delegateAct) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.answer[address] = act
-}
-
-func (f *fakeDelegates) HeardSince(string, Millis) bool { return f.heard }
-func (f *fakeDelegates) Heard(string)                   {}
-func (f *fakeDelegates) Settling() bool                 { return f.settling }
-
-func (f *fakeDelegates) SendersIn(zones Set[string]) []PeerInfo {
-	var senders []PeerInfo
-	for _, peer := range f.peers {
-		if zones.Has(peer.Zone) {
-			senders = append(senders, peer)
-		}
-	}
-	return senders
-}
+func (f *fakeDelegates) Delegates() []PeerInfo                  { return f.to }
+func (f *fakeDelegates) DelegateFailed(address string, _ error) { f.failed = append(f.failed, address) }
+func (f *fakeDelegates) HeardSince(string, Millis) bool         { return f.heard }
+func (f *fakeDelegates) Settling() bool                         { return f.settling }
 
 func (f *fakeDelegates) Delegate(ctx context.Context, address string, request DelegatedRequest) (DelegatedAnswer, error) {
-	f.mu.Lock()
 	f.asked = append(f.asked, address)
-	act := f.answer[address]
-	f.mu.Unlock()
-	return act(ctx, request)
+	return f.answer[address](ctx, request)
 }
 
 // delegateAct is what an instance of the tests does with a delegated request.
@@ -112,9 +80,10 @@
 		t.Run(tc.name, func(t *testing.T) {
 			inBubble(t, func(t *testing.T) {
 				f := newRouterFixture(3, 2, tc.route)
-				f.choice.to = []PeerInfo{{Name: "a", Address: "a"}, {Name: "b", Address: "b"}}
-				f.choice.answer = map[string]delegateAct{"a": tc.a, "b": tc.b}
-				f.choice.heard = tc.heard
+				f.choice = fakeDelegates{
+					to:     []PeerInfo{{Name: "a", Address: "a"}, {Name: "b", Address: "b"}},
+					answer: map[string]delegateAct{"a": tc.a, "b": tc.b}, heard: tc.heard,
+				}
 				answer := f.ask(context.Background())
 				if answer.Outcome != tc.outcome || !slices.Equal(f.choice.asked, tc.asked) || !slices.Equal(f.choice.failed, tc.failed) {
 					t.Errorf("got %s, asked %v, failed %v; want %s, %v, %v",
@@ -148,8 +117,6 @@
 		if limit := 100 - 30 - CloseMarginMillis; f.since() > limit {
 			t.Errorf("closed after %d ms, want at most %d", f.since(), limit)
 		}
-		f.mu.Lock()
-		defer f.mu.Unlock()
 		for _, attempt := range f.sent {
 			if attempt.deadline-attempt.at > 400 {
 				t.Errorf("an upstream is given %d ms of 400", attempt.deadline-attempt.at)
@@ -177,13 +144,12 @@
 			inBubble(t, func(t *testing.T) {
 				here, there := newRouterFixture(3, 2, scatteredRoute(3, 0.9)), newRouterFixture(3, 2, scatteredRoute(3, 0.9))
 				calls := 0
-				here.choice.to, here.choice.heard = []PeerInfo{{Name: "a", Address: "a"}}, true
-				here.choice.answer = map[string]delegateAct{
+				here.choice = fakeDelegates{to: []PeerInfo{{Name: "a", Address: "a"}}, heard: true, answer: map[string]delegateAct{
 					"a": func(ctx context.Context, request DelegatedRequest) (DelegatedAnswer, error) {
 						calls++
 						return there.router.AnswerDelegated(ctx, request), nil
 					},
-				}
+				}}
 				here.publish(tc.here)
 				there.publish(tc.there)
 				answer := here.ask(context.Background())
@@ -214,113 +180,3 @@
 		}
 	})
 }
-
-// loseZone makes all upstreams of a zone unreachable.
-func (f *routerFixture) loseZone(zone string) {
-	for _, target := range f.fleet.Targets() {
-		if strings.HasSuffix(target.Name, "-"+zone) {
-			for range UnreachableAfterProbes {
-				f.fleet.ProbeFailed(target.Name)
-			}
-		}
-	}
-}
-
-// TestGatheringInBetterPlacedZones covers a zone without shards of its own: its requests
-// are gathered where the shards are, and by itself where that fails.
-func TestGatheringInBetterPlacedZones(t *testing.T) {
-	whole := delegateAnswers(RoutedAnswer{Outcome: OutcomeAnswered, Merged: Some(MergedReply{Signatures: []string{"s"}})})
-	refused := delegateAnswers(refuseRouted(ReasonOverloaded, RetrySoonMillis, "behind"))
-	unreached := delegateFails(fmt.Errorf("%w: refused", ErrNotDelivered))
-	lost := delegateFails(errors.New("connection lost"))
-	cases := []struct {
-		name    string
-		lose    string
-		act     delegateAct
-		outcome Outcome
-		asked   int
-		sent    int
-	}{
-		{"shards in this zone are asked from here", "", whole, OutcomeAnswered, 0, 3},
-		{"shards elsewhere are gathered there", "a", whole, OutcomeAnswered, 1, 0},
-		{"refused there: asked from here", "a", refused, OutcomeAnswered, 2, 3},
-		{"nobody there: asked from here", "a", unreached, OutcomeAnswered, 2, 3},
-		{"broken off: not asked again", "a", lost, OutcomeUnknown, 1, 0},
-		{"another zone has lost its shards", "b", whole, OutcomeAnswered, 0, 3},
-	}
-	for _, tc := range cases {
-		t.Run(tc.name, func(t *testing.T) {
-			inBubble(t, func(t *testing.T) {
-				f := newRouterFixture(3, 2, scatteredRoute(3, 0.9))
-				f.loseZone(tc.lose)
-				f.choice.heard = true
-				f.choice.peers = []PeerInfo{{Name: "x", Address: "x", Zone: "b"}, {Name: "y", Address: "y", Zone: "b"}, {Name: "z", Address: "z", Zone: "a"}}
-				f.choice.answer = map[string]delegateAct{"x": tc.act, "y": tc.act}
-				answer := f.ask(context.Background())
-				if answer.Outcome != tc.outcome || len(f.choice.asked) != tc.asked || len(f.sentTo()) != tc.sent {
-					t.Errorf("%s, asked %v, sent to %v", answer.Outcome, f.choice.asked, f.sentTo())
-				}
-			})
-		})
-	}
-	t.Run("a delegated request is not delegated again", func(t *testing.T) {
-		inBubble(t, func(t *testing.T) {
-			f := newRouterFixture(3, 2, scatteredRoute(3, 0.9))
-			f.loseZone("a")
-			f.choice.peers = []PeerInfo{{Name: "x", Address: "x", Zone: "b"}}
-			answer := f.router.AnswerDelegated(context.Background(), DelegatedRequest{
-				Request:              RoutedRequest{ID: "id", Message: Message{Method: "GET", Host: "h", Target: "/p/1"}},
-				ConfigurationVersion: 7, Left: 400,
-			}).Answer
-			if answer.Outcome != OutcomeAnswered || len(f.choice.asked) > 0 {
-				t.Errorf("%s, asked %v", answer.Outcome, f.choice.asked)
-			}
-		})
-	})
-}
-
-// TestDelegatesZoneCutOff covers a zone without shards that is cut off from those that
-// gather for it: the silence of a few delegated requests makes it refuse at once, as not
-// run, and that of one slow delegate does not.
-func TestDelegatesZoneCutOff(t *testing.T) {
-	for _, tc := range []struct {
-		name    string
-		silent  int
-		refused bool
-	}{{"all are silent", 4, true}, {"one is slow, others answer", 1, false}} {
-		t.Run(tc.name, func(t *testing.T) {
-			inBubble(t, func(t *testing.T) {
-				f := newRouterFixture(3, 2, scatteredRoute(3, 0.9))
-				f.loseZone("a")
-				f.choice.peers = []PeerInfo{{Name: "x", Address: "x", Zone: "b"}}
-				slow := func(ctx context.Context, _ DelegatedRequest) (DelegatedAnswer, error) {
-					time.Sleep(80 * time.Millisecond)
-					return delegateAnswers(RoutedAnswer{Outcome: OutcomeAnswered, Merged: Some(MergedReply{Signatures: []string{"s"}})})(ctx, DelegatedRequest{})
-				}
-				f.choice.answer = map[string]delegateAct{}
-				for i := range 4 {
-					act := delegateAct(slow)
-					if i < tc.silent {
-						act = delegateHangs
-					}
-					f.choice.act("x", act)
-					go f.ask(context.Background())
-					time.Sleep(5 * time.Millisecond)
-				}
-				f.choice.act("x", slow)
-				for range 2 {
-					time.Sleep(SuspectScanMillis.Duration())
-					f.fleet.CheckZones()
-				}
-				before := f.since()
-				answer := f.ask(context.Background())
-				if refused := answer.Outcome == OutcomeNotRun && f.since() == before; refused != tc.refused {
-					t.Errorf("%s after %d ms", answer.Outcome, f.since()-before)
-				}
-				if f.router.Serviceable() == tc.refused {
-					t.Error("the balancer is told otherwise")
-				}
-			})
-		})
-	}
-}
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -481,30 +481,6 @@
 	return count
 }
 
-// ServicesByZone returns for each zone how many of the services have an upstream there
-// that may be given new work.
-func (f *Fleet) ServicesByZone(services []string) map[string]int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	counts := map[string]int{}
-	for _, name := range services {
-		s, ok := f.services[name]
-		if !ok {
-			continue
-		}
-		zones := NewSet[string]()
-		for _, r := range s.replicas {
-			if r.routable() {
-				zones.Add(r.upstream.Zone)
-			}
-		}
-		for zone := range zones {
-			counts[zone]++
-		}
-	}
-	return counts
-}
-
 // Targets returns all upstreams.
 func (f *Fleet) Targets() []Target {
 	f.mu.Lock()
--- a/core/router.go
+++ b/core/router.go
@@ -37,7 +37,6 @@
 	table    atomic.Pointer[RouteTable]
 	paces    *paces
 	crashes  *crashWatch
-	placed   *placement
 	inFlight atomic.Int64
 }
 
@@ -46,7 +45,6 @@
 	return &Router{
 		RouterParts: parts,
 		paces:       newPaces(),
-		placed:      newPlacement(parts.Clock, parts.Fleet),
 		crashes:     &crashWatch{clock: parts.Clock, fleet: parts.Fleet, quarantine: parts.Quarantine},
 	}
 }
@@ -56,7 +54,6 @@
 func (r *Router) Apply(configuration Configuration) {
 	r.table.Store(NewRouteTable(configuration))
 	r.paces.retain(configuration.Routes)
-	r.placed.retain()
 }
 
 // InFlight returns the number of requests that are being answered.
@@ -113,33 +110,30 @@
 		if table == nil {
 			return refuseRouted(ReasonNotReady, RetryLaterMillis, "no configuration is in force")
 		}
-		g := &routing{router: r, request: request, table: table}
-		if answer, renewed := g.run(ctx); !renewed {
+		if answer, renewed := r.answerUnder(ctx, table, request); !renewed {
 			return answer
 		}
 	}
 	return refuseRouted(ReasonNotReady, RetrySoonMillis, "configurations change")
 }
 
-// run answers the request. renewed is set when a newer configuration was learned before
-// it was run.
-func (g *routing) run(ctx context.Context) (answer RoutedAnswer, renewed bool) {
-	message := g.request.Message
-	route, ok := g.table.Match(message.Host, message.Path())
+// answerUnder answers a request under one configuration. renewed is set when a newer one
+// was learned before the request was run.
+func (r *Router) answerUnder(ctx context.Context, table *RouteTable, request RoutedRequest) (answer RoutedAnswer, renewed bool) {
+	route, ok := table.Match(request.Message.Host, request.Message.Path())
 	if !ok {
-		answer := refuseRouted(ReasonUnknownRoute, 0, "no route for host %q", message.Host)
-		answer.ConfigurationVersion = g.table.version
+		answer := refuseRouted(ReasonUnknownRoute, 0, "no route for host %q", request.Message.Host)
+		answer.ConfigurationVersion = table.version
 		return answer, false
 	}
-	g.route = route
-	g.deadline = g.request.Arrived + route.Timeout
-	if g.request.Deadline != 0 {
-		g.deadline = min(g.deadline, g.request.Deadline)
+	g := &routing{router: r, request: request, table: table, route: route, deadline: request.Arrived + route.Timeout}
+	if request.Deadline != 0 {
+		g.deadline = min(g.deadline, request.Deadline)
 	}
 	answer, renewed = g.answer(ctx)
 	answer.Route = route.Name
-	answer.ConfigurationVersion = g.table.version
-	answer.MoveOn = answer.MoveOn || g.router.Lag.Overloaded()
+	answer.ConfigurationVersion = table.version
+	answer.MoveOn = answer.MoveOn || r.Lag.Overloaded()
 	return answer, renewed
 }
 
@@ -163,29 +157,14 @@
 		return g.delegate(ctx, delegates)
 	case r.Choice.Settling():
 		answer = refuseRouted(ReasonNotReady, RetrySoonMillis, "the list of upstreams is being read")
+	case g.route.Scattered():
+		answer = r.scatter(ctx, g.route, g.request, g.deadline)
 	default:
-		return g.gather(ctx)
+		answer = r.forward(ctx, g.route, g.request, g.deadline)
 	}
 	return answer, false
 }
 
-// gather answers the request from here, or has an instance in a better placed zone do it.
-func (g *routing) gather(ctx context.Context) (answer RoutedAnswer, renewed bool) {
-	r := g.router
-	if zones := r.placed.zones(g.route); len(zones) > 0 && !g.delegated {
-		remote := r.Choice.SendersIn(zones)
-		remote = remote[:min(len(remote), MaxRemoteGathers)]
-		if answer, renewed = g.delegate(ctx, remote); renewed || answer.Outcome == OutcomeAnswered || answer.Outcome == OutcomeUnknown {
-			r.Counters.Add(CountDelegated, 1)
-			return answer, renewed
-		}
-	}
-	if g.route.Scattered() {
-		return r.scatter(ctx, g.route, g.request, g.deadline), false
-	}
-	return r.forward(ctx, g.route, g.request, g.deadline), false
-}
-
 // forward has one upstream of one destination answer the request.
 func (r *Router) forward(ctx context.Context, route Route, request RoutedRequest, deadline Millis) RoutedAnswer {
 	service := route.pick()
--- a/core/zone.go
+++ b/core/zone.go
@@ -29,40 +29,14 @@
 
 // late records that an attempt is late. The caller holds the lock.
 func (f *Fleet) late(r *replica, since Millis) {
-	f.zoneOf(r).countLate(since, 1)
-}
-
-// countLate counts an attempt that was sent at since, unless the zone was heard after.
-func (z *zoneView) countLate(since Millis, weight int) {
-	if z.heardAt >= since {
+	zone := f.zoneOf(r)
+	if zone.heardAt >= since {
 		return
 	}
-	if z.late == 0 || since < z.lateSince {
-		z.lateSince = since
-	}
-	z.late += weight
-}
-
-// ZoneHeard records that an instance in the zone replied.
-func (f *Fleet) ZoneHeard(name string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if zone, ok := f.zones[name]; ok {
-		zone.heardAt, zone.late = f.clock.Now(), 0
-	}
-}
-
-// ZoneLate records that a request that was delegated into the zone is late. It counts
-// for several attempts, as it stands for one at each shard.
-func (f *Fleet) ZoneLate(name string, since Millis) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	zone, ok := f.zones[name]
-	if !ok {
-		zone = &zoneView{}
-		f.zones[name] = zone
+	if zone.late == 0 {
+		zone.lateSince = since
 	}
-	zone.countLate(since, DelegatedLateWeight)
+	zone.late++
 }
 
 // CheckZones looks for zones that are cut off: many attempts are late, and nothing
