--- a/core/delegate_test.go
+++ b/core/delegate_test.go
@@ -117,6 +117,8 @@
 		if limit := 100 - 30 - CloseMarginMillis; f.since() > limit {
 			t.Errorf("closed after %d ms, want at most %d", f.since(), limit)
 		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		for _, attempt := range f.sent {
 			if attempt.deadline-attempt.at > 400 {
 				t.Errorf("an upstream is given %d ms of 400", attempt.deadline-attempt.at)
