Spare the store and the list of upstreams where instances rely on others

Ruled out: longer watches (a change must be in force 5 s after it, and a connection may go silent). Change: an instance that starts waits 2 s (0.3 s when it is started again) to hear of others that it can delegate to; one that delegates reads no list, and reads the configuration itself only when its peers' news of the platform are older than the time to be in force less 0.7 s. Readers that others rely on watch half as long at a time. TestReadersAndThoseThatRelyOnThem, TestJoining, TestSettlingAfterDelegates.

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -103,6 +103,8 @@
 	perInstance core.Millis
 	// delegate lets instances delegate requests to others.
 	delegate bool
+	// join is how long a starting instance waits to hear of them.
+	join core.Millis
 }
 
 // chooseSources returns the sources for the instance's interface.
@@ -118,6 +120,7 @@
 			exchangeInterval: routesExchangeInterval,
 			perInstance:      routesExchangePerInstance,
 			delegate:         true,
+			join:             joinTime(i.settings),
 		}
 	}
 	return sources{
@@ -157,6 +160,7 @@
 
 		ExchangePerInstance: sources.perInstance,
 		Delegate:            sources.delegate,
+		Join:                sources.join,
 	})
 	i.publications = core.NewPublications(core.PublicationsParts{
 		Clock:    i.clock,
--- a/cli/routes.go
+++ b/cli/routes.go
@@ -28,6 +28,10 @@
 // call that gets no answer, and to read anew.
 const watchMargin = core.Second
 
+// silenceMargin is how long before that time an instance that relies on others reads
+// the platform itself. It leaves time for a read.
+const silenceMargin = 700 * core.Millis(1)
+
 const (
 	// watchPause lets changes that come together be read by one call. It is short
 	// against the time in which leaving upstreams may get no more work.
@@ -38,14 +42,33 @@
 	readRetryMax = 500 * core.Millis(1)
 )
 
+const (
+	// firstJoin is how long an instance waits to hear of others at the first start of
+	// all instances: they know nothing of each other, and callers come later.
+	firstJoin = 2 * core.Second
+	// laterJoin is the same for an instance that is started again: the others know each
+	// other, and callers wait.
+	laterJoin = 300 * core.Millis(1)
+)
+
+// joinTime returns how long a starting instance waits to hear of others.
+func joinTime(settings operator.Settings) core.Millis {
+	if settings.FirstStart {
+		return firstJoin
+	}
+	return laterJoin
+}
+
 // routesCadence reads the store often enough to notice within a configuration's
 // time to be in force that a connection to it fell silent.
 func routesCadence(settings operator.Settings) core.ReadCadence {
 	return core.ReadCadence{
-		Wait:     settings.ConfigurationInForce - watchMargin,
-		Pause:    watchPause,
-		RetryMin: readRetryMin,
-		RetryMax: readRetryMax,
+		Wait:       settings.ConfigurationInForce - watchMargin,
+		SharedWait: (settings.ConfigurationInForce - watchMargin) / 2,
+		Silence:    settings.ConfigurationInForce - silenceMargin,
+		Pause:      watchPause,
+		RetryMin:   readRetryMin,
+		RetryMax:   readRetryMax,
 	}
 }
 
--- a/core/aggregators.go
+++ b/core/aggregators.go
@@ -84,6 +84,12 @@
 	return p.currentDelegation().to
 }
 
+// Joining reports whether the instance has just started and may yet hear of others that
+// it can delegate requests to.
+func (p *Peers) Joining() bool {
+	return p.Clock.Since(p.startedAt) < p.Join && len(p.Delegates()) == 0
+}
+
 // Senders returns how many instances send requests to upstreams, as far as is known.
 func (p *Peers) Senders() int {
 	p.mu.Lock()
@@ -91,6 +97,12 @@
 	return p.currentDelegation().senders
 }
 
+// ReadForOthers reports whether there are instances that rely on others to read the
+// platform.
+func (p *Peers) ReadForOthers() bool {
+	return p.Delegate && p.Senders() < p.Size()
+}
+
 // Settling reports whether this instance has just begun to send requests to upstreams
 // itself and has not read the platform since. What it knows of upstreams is old then.
 func (p *Peers) Settling() bool {
@@ -98,7 +110,7 @@
 	defer p.mu.Unlock()
 	ended := p.currentDelegation().endedAt
 	since := p.Clock.Since(ended)
-	return ended != 0 && since < SettleMillis && p.Store.ReadAge() > since
+	return ended != 0 && since < SettleMillis && p.Store.ListReadAge() > since
 }
 
 // DelegateFailed takes in that an instance did not take a delegated request. It gets no
--- a/core/constants.go
+++ b/core/constants.go
@@ -230,6 +230,9 @@
 	// DelegateExchangeMillis is the pause between two exchanges with a delegate. It
 	// bounds how long one that fell silent gets requests.
 	DelegateExchangeMillis = 1 * Second
+	// JoinExchangeMillis is the pause between two exchanges with one peer while an
+	// instance joins the others.
+	JoinExchangeMillis = 250 * Millis(1)
 	// delegationMillis is how long the choice of delegates stands, unless one fails.
 	delegationMillis = 200 * Millis(1)
 	// DelegateHopMillis is kept back for the way of a delegated request and its answer
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -87,7 +87,7 @@
 	if inForce.Configuration.Newer(peer.known()) {
 		return peer.wants
 	}
-	if p.Store.ReadAge() > ListSilenceMillis && peer.listRevision > p.Store.List().Revision && p.Clock.Now() >= p.fetchingList {
+	if p.Store.ListReadAge() > ListSilenceMillis && peer.listRevision > p.Store.List().Revision && p.Clock.Now() >= p.fetchingList {
 		return true
 	}
 	return peer.known().Newer(inForce.Configuration) && p.Clock.Now() >= p.fetching
@@ -166,7 +166,7 @@
 // peer was asked for is awaited. The caller holds the lock.
 func (p *Peers) mayFetchList(peer *peerState, revision uint64) bool {
 	now := p.Clock.Now()
-	if now < p.fetchingList || peer.listRevision <= revision || p.Store.ReadAge() <= ListSilenceMillis {
+	if now < p.fetchingList || peer.listRevision <= revision || p.Store.ListReadAge() <= ListSilenceMillis {
 		return false
 	}
 	p.fetchingList = now + ExchangeTimeoutMillis
--- a/core/peers.go
+++ b/core/peers.go
@@ -37,6 +37,9 @@
 	ExchangeInterval Millis
 	// ExchangePerInstance times the number of instances is the least pause.
 	ExchangePerInstance Millis
+	// Join is how long after its start an instance waits for word of instances that it
+	// may delegate requests to.
+	Join Millis
 	// Delegate lets an instance delegate requests to others that send them to upstreams.
 	Delegate bool
 	// Apply takes in a fact that was new.
@@ -58,6 +61,7 @@
 	// fetchingList is the same for an instance list.
 	fetchingList Millis
 	delegation   delegation
+	startedAt    Millis
 	// relink signals that an instance was heard of for the first time.
 	relink chan struct{}
 }
@@ -90,6 +94,7 @@
 func NewPeers(parts PeersParts) *Peers {
 	parts.Seeds = slices.Clone(parts.Seeds)
 	p := &Peers{PeersParts: parts, peers: map[string]*peerState{}, tasks: map[string]peerTask{}, relink: make(chan struct{}, 1)}
+	p.startedAt = parts.Clock.Now()
 	for _, address := range parts.Seeds {
 		if address != parts.Self.Address {
 			p.peers[address] = &peerState{address: address}
@@ -251,7 +256,10 @@
 
 // pause returns the time between two exchanges with one peer.
 func (p *Peers) pause() Millis {
-	if len(p.Delegates()) > 0 {
+	switch {
+	case p.Joining():
+		return JoinExchangeMillis
+	case len(p.Delegates()) > 0:
 		return DelegateExchangeMillis
 	}
 	return max(p.ExchangeInterval, Millis(p.Senders())*p.ExchangePerInstance)
--- a/core/publications.go
+++ b/core/publications.go
@@ -42,6 +42,11 @@
 	// time between two watches of one value.
 	Wait  Millis
 	Pause Millis
+	// SharedWait takes the place of Wait where most instances rely on a few readers.
+	SharedWait Millis
+	// Silence is how old the news of the platform may be before an instance that relies
+	// on others reads it itself.
+	Silence Millis
 	// RetryMin and RetryMax are the first and the longest pause after failures.
 	RetryMin Millis
 	RetryMax Millis
@@ -50,10 +55,12 @@
 // DefaultCadence spares a platform whose reads are scarce.
 func DefaultCadence() ReadCadence {
 	return ReadCadence{
-		Wait:     WatchWaitMillis,
-		Pause:    WatchPauseMillis,
-		RetryMin: PlatformRetryMinMillis,
-		RetryMax: PlatformRetryMaxMillis,
+		Wait:       WatchWaitMillis,
+		SharedWait: WatchWaitMillis,
+		Silence:    PlatformSilenceMillis,
+		Pause:      WatchPauseMillis,
+		RetryMin:   PlatformRetryMinMillis,
+		RetryMax:   PlatformRetryMaxMillis,
 	}
 }
 
@@ -105,7 +112,7 @@
 			_ = p.Clock.Sleep(ctx, jitter(p.Cadence.RetryMin))
 			continue
 		}
-		wait := p.Cadence.Wait
+		wait := p.wait()
 		if !p.tried(key) || !p.Peers.Reader() {
 			wait = 0
 		}
@@ -143,10 +150,24 @@
 
 // due reports whether this instance should read the platform itself.
 func (p *Publications) due(key string) bool {
-	if !p.tried(key) || p.Peers.Reader() {
+	delegating := len(p.Peers.Delegates()) > 0
+	switch {
+	case key == KeyInstances && (delegating || p.Peers.Joining()):
+		return false
+	case !p.tried(key):
 		return true
+	case p.Peers.Reader():
+		return !p.Peers.Joining()
+	}
+	return p.Store.PlatformAge() > p.Cadence.Silence
+}
+
+// wait returns how long a watch waits: less where other instances rely on it.
+func (p *Publications) wait() Millis {
+	if p.Peers.ReadForOthers() {
+		return p.Cadence.SharedWait
 	}
-	return p.Store.PlatformAge() > PlatformSilenceMillis
+	return p.Cadence.Wait
 }
 
 func (p *Publications) tried(key string) bool {
@@ -155,9 +176,10 @@
 	return p.first.Has(key)
 }
 
-// AllTried reports whether each value has been asked for at least once.
+// AllTried reports whether each value that is needed has been asked for at least once. An
+// instance that delegates its requests does without the instance list.
 func (p *Publications) AllTried() bool {
-	return p.tried(KeyConfiguration) && p.tried(KeyInstances)
+	return p.tried(KeyConfiguration) && (p.tried(KeyInstances) || len(p.Peers.Delegates()) > 0)
 }
 
 func (p *Publications) read(ctx context.Context, key string, after uint64, wait Millis) (Published, error) {
@@ -171,7 +193,7 @@
 		p.Counters.Add(CountPlatformFailures, 1)
 		return Published{}, err
 	}
-	p.Store.ReadPlatform()
+	p.Store.ReadPlatform(key)
 	if published.Revision != after {
 		p.offer(key, published)
 	}
--- /dev/null
+++ b/core/publications_test.go
@@ -0,0 +1,194 @@
+package core
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+)
+
+// countingPlatform answers every read at once or after its wait, and counts them by key.
+type countingPlatform struct {
+	mu    sync.Mutex
+	reads map[string]int
+	down  bool
+}
+
+func (c *countingPlatform) Read(ctx context.Context, key string, after uint64, wait Millis) (Published, error) {
+	c.mu.Lock()
+	c.reads[key]++
+	down := c.down
+	c.mu.Unlock()
+	if down {
+		return Published{}, ErrPlatformUnavailable
+	}
+	if after > 0 && wait > 0 {
+		select {
+		case <-time.After(wait.Duration()):
+		case <-ctx.Done():
+			return Published{}, errors.Join(ErrPlatformUnavailable, ctx.Err())
+		}
+	}
+	if key == KeyInstances {
+		return Published{Revision: 3, List: Some(InstanceList{Revision: 3})}, nil
+	}
+	return Published{Revision: 3, Raw: []byte("7 d")}, nil
+}
+
+func (c *countingPlatform) count(key string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.reads[key]
+}
+
+// publicationsFixture is a reader of the platform and its view of the other instances.
+type publicationsFixture struct {
+	platform     *countingPlatform
+	peers        *Peers
+	publications *Publications
+	clock        Clock
+}
+
+// startPublications starts a reader that waits to hear of others for a time.
+func startPublications(t *testing.T, join Millis) *publicationsFixture {
+	f := &publicationsFixture{platform: &countingPlatform{reads: map[string]int{}}}
+	f.clock = NewClockFrom(func() Millis { return Millis(time.Now().UnixMilli()) })
+	store := NewStore(f.clock, textDecoder{}, NewCounters())
+	f.peers = NewPeers(PeersParts{
+		Self:  PeerInfo{Name: "self", Zone: "z", Address: "self", Incarnation: 1, Capacity: 192},
+		Clock: f.clock, Client: &fakePeers{asked: NewSet[string](), down: NewSet[string]()}, Store: store,
+		Facts: NewFactLog(f.clock), Counters: NewCounters(), Log: logr.Discard(), Delegate: true, Join: join,
+	})
+	f.publications = NewPublications(PublicationsParts{
+		Clock: f.clock, Platform: f.platform, Store: store, Peers: f.peers, Counters: NewCounters(), Log: logr.Discard(),
+		Cadence: ReadCadence{Wait: 4 * Second, SharedWait: 2 * Second, Silence: 4 * Second, Pause: 400, RetryMin: 100, RetryMax: 500},
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- f.publications.Run(ctx) }()
+	t.Cleanup(func() { cancel() })
+	return f
+}
+
+// hearOf lets the instance hear of a strong one that last had news of the platform some
+// time ago.
+func (f *publicationsFixture) hearOf(age Millis) {
+	f.peers.Receive(Exchange{
+		From:        PeerInfo{Name: "strong", Zone: "z", Address: "strong", Incarnation: 1, Capacity: 800},
+		PlatformAge: age, ConfigurationVersion: 7, ConfigurationDigest: "d",
+	})
+}
+
+// TestReadersAndThoseThatRelyOnThem covers who reads the platform where some instances
+// delegate their requests, and how often: the others' reads grow with the fleet.
+func TestReadersAndThoseThatRelyOnThem(t *testing.T) {
+	const watched = 20 * time.Second
+	cases := []struct {
+		name string
+		play func(f *publicationsFixture)
+		// configuration and list bound the reads of each value.
+		configurationLeast, configurationMost int
+		listLeast, listMost                   int
+	}{
+		{"alone: reads both all the time", func(*publicationsFixture) {
+			time.Sleep(watched)
+		}, 4, 8, 4, 8},
+		{"with a strong instance that hears the platform: no list, one configuration", func(f *publicationsFixture) {
+			for range 20 {
+				f.hearOf(0)
+				time.Sleep(watched / 20)
+			}
+		}, 1, 1, 0, 0},
+		{"with one that does not hear the platform: configurations in time, no list", func(f *publicationsFixture) {
+			for i := range 20 {
+				f.hearOf(Millis(i) * Second)
+				time.Sleep(watched / 20)
+			}
+		}, 4, 8, 0, 0},
+		{"with one that is lost: both from then on", func(f *publicationsFixture) {
+			for i := range 20 {
+				if i < 10 {
+					f.hearOf(0)
+				} else {
+					f.peers.DelegateFailed("strong", ErrPeerUnreachable)
+				}
+				time.Sleep(watched / 20)
+			}
+		}, 3, 6, 2, 5},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startPublications(t, 0)
+				tc.play(f)
+				configuration, list := f.platform.count(KeyConfiguration), f.platform.count(KeyInstances)
+				if configuration < tc.configurationLeast || configuration > tc.configurationMost {
+					t.Errorf("%d reads of the configuration, want %d to %d", configuration, tc.configurationLeast, tc.configurationMost)
+				}
+				// The first read of the list may come before the strong instance is heard.
+				if list < tc.listLeast || list > tc.listMost+1 {
+					t.Errorf("%d reads of the list, want %d to %d", list, tc.listLeast, tc.listMost)
+				}
+				if !f.publications.AllTried() {
+					t.Error("not ready")
+				}
+			})
+		})
+	}
+}
+
+// TestJoining covers the start of an instance in a fleet in which it will delegate: it
+// reads the list only once it is clear that nobody else does.
+func TestJoining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startPublications(t, 2*Second)
+		time.Sleep(time.Second)
+		if reads := f.platform.count(KeyInstances); reads > 0 || f.publications.AllTried() {
+			t.Errorf("%d reads of the list while joining", reads)
+		}
+		time.Sleep(1500 * time.Millisecond)
+		if reads := f.platform.count(KeyInstances); reads == 0 || !f.publications.AllTried() {
+			t.Errorf("%d reads of the list after joining alone", reads)
+		}
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f := startPublications(t, 2*Second)
+		f.hearOf(0)
+		time.Sleep(100 * time.Millisecond)
+		if reads := f.platform.count(KeyInstances); reads > 0 || !f.publications.AllTried() {
+			t.Errorf("%d reads of the list beside a strong instance", reads)
+		}
+	})
+}
+
+// TestSettlingAfterDelegates covers an instance that loses the one it delegated to: what it
+// knows of upstreams counts as old until it has read the list.
+func TestSettlingAfterDelegates(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startPublications(t, 2*Second)
+		f.hearOf(0)
+		time.Sleep(time.Second)
+		if f.peers.Settling() || len(f.peers.Delegates()) != 1 {
+			t.Error("settling while it delegates")
+		}
+		f.platform.mu.Lock()
+		f.platform.down = true
+		f.platform.mu.Unlock()
+		f.peers.DelegateFailed("strong", ErrPeerUnreachable)
+		time.Sleep(500 * time.Millisecond)
+		if !f.peers.Settling() || len(f.peers.Delegates()) != 0 {
+			t.Error("not settling without the list")
+		}
+		f.platform.mu.Lock()
+		f.platform.down = false
+		f.platform.mu.Unlock()
+		time.Sleep(600 * time.Millisecond)
+		if f.peers.Settling() {
+			t.Error("settling after it has read the list")
+		}
+	})
+}
--- a/core/store.go
+++ b/core/store.go
@@ -40,17 +40,17 @@
 	decoder  Decoder
 	counters *Counters
 
-	mu        sync.RWMutex
-	inForce   Option[InForce]
-	list      InstanceList
-	refusals  []Refusal
-	conflicts int
-	heardAt   Millis
-	readAt    Millis
-	missed    bool
-	onConfig  []func(Configuration)
-	onList    []func(InstanceList)
-	wake      []chan struct{}
+	mu         sync.RWMutex
+	inForce    Option[InForce]
+	list       InstanceList
+	refusals   []Refusal
+	conflicts  int
+	heardAt    Millis
+	listReadAt Millis
+	missed     bool
+	onConfig   []func(Configuration)
+	onList     []func(InstanceList)
+	wake       []chan struct{}
 }
 
 // NewStore returns a store with nothing in force.
@@ -220,13 +220,15 @@
 	s.heardAt = max(s.heardAt, s.clock.Now()-age)
 }
 
-// ReadPlatform records that this instance has read the platform now.
-func (s *Store) ReadPlatform() {
+// ReadPlatform records that this instance has read a value of the platform now.
+func (s *Store) ReadPlatform(key string) {
 	s.HeardPlatform(0)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.readAt = s.clock.Now()
-	s.missed = false
+	if key == KeyInstances {
+		s.listReadAt = s.clock.Now()
+		s.missed = false
+	}
 }
 
 // MissPlatform records that this instance could not read the platform.
@@ -236,12 +238,12 @@
 	s.missed = true
 }
 
-// ReadAge returns how long ago this instance last read the platform itself. After
+// ListReadAge returns how long ago this instance last read the instance list itself. After
 // a failed read it is more than ListSilenceMillis.
-func (s *Store) ReadAge() Millis {
+func (s *Store) ListReadAge() Millis {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	age := s.clock.Now() - s.readAt
+	age := s.clock.Now() - s.listReadAt
 	if s.missed {
 		return max(age, ListSilenceMillis+1)
 	}
--- a/io/operator/settings.go
+++ b/io/operator/settings.go
@@ -60,6 +60,8 @@
 	ConfigurationInForce core.Millis
 	// Repeats limits repeated requests to upstreams, for InterfaceRoutes.
 	Repeats core.AllowanceLimit
+	// FirstStart is set when all instances start for the first time.
+	FirstStart bool
 	// Capacity is the processor time of the instance, in thousandths of a core.
 	Capacity int
 	LogLevel string
@@ -102,6 +104,7 @@
 	if settings.Interface == InterfaceRoutes {
 		settings.ReadyAddress = root.Field("readyAddress").Address()
 		settings.Repeats = readRepeats(root.Field("repeats"))
+		settings.FirstStart = root.Field("firstStart").BoolOr(false)
 		settings.Capacity = readCapacity(root.Field("processor"))
 	}
 	if level := root.Field("logLevel"); level.Present() {
