Close a connection to a peer only after silence, not after it broke

Cause: TestAPlannedStopOfADelegate, new, found 2 requests with an unknown outcome as a delegate stopped: it had closed its listener, two exchanges failed within a millisecond, and the connection with two answers still on it was closed. Ruled out: the stop itself (gRPC waits for the calls under way). Change: only exchanges that were not answered in time count towards a new connection.

--- a/core/constants.go
+++ b/core/constants.go
@@ -244,9 +244,9 @@
 	// SettleMillis is how long an instance that begins to send requests to upstreams
 	// waits for its first read of the platform.
 	SettleMillis = 1500 * Millis(1)
-	// ReconnectAfterFailures is after how many failed exchanges in a row a connection
-	// to a peer is opened anew: it may have gone silent for good.
-	ReconnectAfterFailures = 2
+	// ReconnectAfterSilence is after how many exchanges without an answer in a row a
+	// connection to a peer is opened anew: it may have gone silent for good.
+	ReconnectAfterSilence = 2
 )
 
 // Requests that crash upstreams.
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 )
 
@@ -63,6 +64,9 @@
 	reply, err := p.Client.Exchange(limited, address, message)
 	if err != nil {
 		p.Counters.Add(CountPeerFailures, 1)
+		if errors.Is(limited.Err(), context.DeadlineExceeded) {
+			p.noteSilence(address)
+		}
 		p.noteFailure(address, err)
 		return err
 	}
@@ -109,15 +113,26 @@
 		peer.lastError = err.Error()
 		peer.failuresInRow++
 		p.delegation.until = 0
-		if peer.failuresInRow%ReconnectAfterFailures == 0 {
-			p.Client.Forget(address)
-		}
 		if peer.failuresInRow == lostAfterFailures {
 			p.Log.Info("peer lost", "peer", peer.info.Name, "address", address, "error", err.Error())
 		}
 	}
 }
 
+// noteSilence takes in that an exchange was not answered in time. After several in a row
+// the connection is closed; one that broke is replaced without that, and requests that
+// are under way on one that a stopping peer closes are still answered.
+func (p *Peers) noteSilence(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if peer, ok := p.peers[address]; ok {
+		peer.silentInRow++
+		if peer.silentInRow%ReconnectAfterSilence == 0 {
+			p.Client.Forget(address)
+		}
+	}
+}
+
 // message returns what the peer is told now.
 func (p *Peers) message(address string) (Exchange, bool) {
 	p.mu.Lock()
@@ -322,6 +337,7 @@
 	s.tried = true
 	s.lastError = ""
 	s.failuresInRow = 0
+	s.silentInRow = 0
 	s.version = message.ConfigurationVersion
 	s.digest = message.ConfigurationDigest
 	s.wants = message.Wants
--- a/core/peers.go
+++ b/core/peers.go
@@ -83,6 +83,8 @@
 	wantsList     bool
 	lastError     string
 	failuresInRow int
+	// silentInRow counts exchanges that were not answered in time.
+	silentInRow int
 }
 
 type peerTask struct {
