Have others answer the requests of an instance that is behind

Ruled out: readiness alone (callers are moved only after two checks, 2 s); refusing earlier (the callers come back to the same instance). Change: from a lag of 8 ms on, requests are delegated to instances that keep up, for 2 s and longer each time that the instance falls behind again. One that refuses as it is behind itself is left alone for a second. A restarted instance does not wait to hear of others (that cost 0.3 s after a power loss).

--- a/cli/routes.go
+++ b/cli/routes.go
@@ -42,21 +42,17 @@
 	readRetryMax = 500 * core.Millis(1)
 )
 
-const (
-	// firstJoin is how long an instance waits to hear of others at the first start of
-	// all instances: they know nothing of each other, and callers come later.
-	firstJoin = 2 * core.Second
-	// laterJoin is the same for an instance that is started again: the others know each
-	// other, and callers wait.
-	laterJoin = 300 * core.Millis(1)
-)
+// firstJoin is how long an instance waits to hear of others at the first start of all
+// instances: they know nothing of each other, and callers come later.
+const firstJoin = 2 * core.Second
 
-// joinTime returns how long a starting instance waits to hear of others.
+// joinTime returns how long a starting instance waits to hear of others. One that is
+// started again does not: callers wait.
 func joinTime(settings operator.Settings) core.Millis {
 	if settings.FirstStart {
 		return firstJoin
 	}
-	return laterJoin
+	return 0
 }
 
 // routesCadence reads the store often enough to notice within a configuration's
--- a/core/aggregators.go
+++ b/core/aggregators.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -120,6 +121,30 @@
 	p.kick(address)
 }
 
+// Relievers implements DelegateChoice.
+func (p *Peers) Relievers() []PeerInfo {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	usable := p.known(func(peer *peerState) bool { return peer.failuresInRow == 0 && now >= peer.busyUntil })
+	var senders []PeerInfo
+	for _, aggregators := range aggregatorsByZone(append([]PeerInfo{p.Self}, usable...)) {
+		senders = append(senders, aggregators...)
+	}
+	senders = slices.DeleteFunc(senders, func(o PeerInfo) bool { return o.Name == p.Self.Name })
+	rand.Shuffle(len(senders), func(i, j int) { senders[i], senders[j] = senders[j], senders[i] })
+	return senders
+}
+
+// Busy implements DelegateChoice.
+func (p *Peers) Busy(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if peer, ok := p.peers[address]; ok {
+		peer.busyUntil = p.Clock.Now() + BusyMillis
+	}
+}
+
 // HeardSince reports whether a peer was heard after the given time.
 func (p *Peers) HeardSince(address string, at Millis) bool {
 	p.mu.Lock()
--- a/core/constants.go
+++ b/core/constants.go
@@ -241,6 +241,21 @@
 	// DelegateSilenceMillis is how long after its objective a delegated request is
 	// given up if its delegate was not heard since it was sent.
 	DelegateSilenceMillis = 100 * Millis(1)
+	// ReliefLagMillis is the lag from which an instance has others answer its requests.
+	ReliefLagMillis = 8.0
+	// ReliefMinMillis and ReliefMaxMillis are the first and the longest time for which
+	// it does so after it was last behind, and ReliefCalmMillis how long it must keep up
+	// afterwards for the time to start from the first again.
+	ReliefMinMillis  = 2 * Second
+	ReliefMaxMillis  = 16 * Second
+	ReliefCalmMillis = 5 * Second
+	// ReliefRefuseFactor times the latency objective is the lag above which even a request
+	// that another instance would answer is refused.
+	ReliefRefuseFactor = 0.5
+	// MaxRelievers is how many other instances are tried.
+	MaxRelievers = 2
+	// BusyMillis is how long an instance that refused a request as it was behind gets none.
+	BusyMillis = 1 * Second
 	// SettleMillis is how long an instance that begins to send requests to upstreams
 	// waits for its first read of the platform.
 	SettleMillis = 1500 * Millis(1)
--- a/core/delegate.go
+++ b/core/delegate.go
@@ -20,6 +20,11 @@
 	// instance sends requests to upstreams itself.
 	Delegates() []PeerInfo
 	DelegateFailed(address string, err error)
+	// Relievers returns the other instances that send requests to upstreams and have not
+	// refused one of late, in an order drawn anew for each request.
+	Relievers() []PeerInfo
+	// Busy takes in that an instance refused a request as it was behind.
+	Busy(address string)
 	HeardSince(address string, at Millis) bool
 	// Settling reports whether what is known of upstreams is too old to send them requests.
 	Settling() bool
@@ -32,6 +37,8 @@
 	table    *RouteTable
 	route    Route
 	deadline Millis
+	// delegated is set for a request of another instance.
+	delegated bool
 }
 
 // delegate has other instances answer the request, one after the other until one of
@@ -63,6 +70,9 @@
 	case err != nil:
 		return RoutedAnswer{Outcome: OutcomeUnknown, Reason: ReasonConnectionLost, Detail: err.Error(), MoveOn: true}, false
 	case reply.Answer.Reason != ReasonOtherConfiguration:
+		if reply.Answer.Reason == ReasonOverloaded {
+			g.router.Choice.Busy(delegate.Address)
+		}
 		return reply.Answer, false
 	}
 	if len(reply.Configuration) > 0 {
@@ -137,7 +147,8 @@
 	if table == nil || table.version != delegated.ConfigurationVersion {
 		return r.refuseConfiguration(table, delegated.ConfigurationVersion)
 	}
-	answer, _ := r.answerUnder(ctx, table, request)
+	g := &routing{router: r, request: request, table: table, delegated: true}
+	answer, _ := g.run(ctx)
 	r.report(request, answer)
 	return DelegatedAnswer{Answer: answer}
 }
--- a/core/delegate_test.go
+++ b/core/delegate_test.go
@@ -13,15 +13,21 @@
 	to     []PeerInfo
 	answer map[string]func(ctx context.Context, request DelegatedRequest) (DelegatedAnswer, error)
 	// asked are the names of those that got calls, failed those that were reported.
-	asked    []string
-	failed   []string
-	heard    bool
-	settling bool
+	asked []string
+	// relievers are those that may answer while the instance is behind, busy those that
+	// were reported as such.
+	relievers []PeerInfo
+	busy      []string
+	failed    []string
+	heard     bool
+	settling  bool
 }
 
 func (f *fakeDelegates) Delegates() []PeerInfo                  { return f.to }
 func (f *fakeDelegates) DelegateFailed(address string, _ error) { f.failed = append(f.failed, address) }
 func (f *fakeDelegates) HeardSince(string, Millis) bool         { return f.heard }
+func (f *fakeDelegates) Relievers() []PeerInfo                  { return f.relievers }
+func (f *fakeDelegates) Busy(address string)                    { f.busy = append(f.busy, address) }
 func (f *fakeDelegates) Settling() bool                         { return f.settling }
 
 func (f *fakeDelegates) Delegate(ctx context.Context, address string, request DelegatedRequest) (DelegatedAnswer, error) {
--- a/core/peers.go
+++ b/core/peers.go
@@ -83,6 +83,8 @@
 	wantsList     bool
 	lastError     string
 	failuresInRow int
+	// busyUntil is until when it gets no requests to relieve this instance.
+	busyUntil Millis
 	// silentInRow counts exchanges that were not answered in time.
 	silentInRow int
 }
--- a/core/router.go
+++ b/core/router.go
@@ -37,6 +37,7 @@
 	table    atomic.Pointer[RouteTable]
 	paces    *paces
 	crashes  *crashWatch
+	relief   *relief
 	inFlight atomic.Int64
 }
 
@@ -45,6 +46,7 @@
 	return &Router{
 		RouterParts: parts,
 		paces:       newPaces(),
+		relief:      &relief{clock: parts.Clock, lag: parts.Lag},
 		crashes:     &crashWatch{clock: parts.Clock, fleet: parts.Fleet, quarantine: parts.Quarantine},
 	}
 }
@@ -110,30 +112,34 @@
 		if table == nil {
 			return refuseRouted(ReasonNotReady, RetryLaterMillis, "no configuration is in force")
 		}
-		if answer, renewed := r.answerUnder(ctx, table, request); !renewed {
+		g := &routing{router: r, request: request, table: table}
+		if answer, renewed := g.run(ctx); !renewed {
 			return answer
 		}
 	}
 	return refuseRouted(ReasonNotReady, RetrySoonMillis, "configurations change")
 }
 
-// answerUnder answers a request under one configuration. renewed is set when a newer one
-// was learned before the request was run.
-func (r *Router) answerUnder(ctx context.Context, table *RouteTable, request RoutedRequest) (answer RoutedAnswer, renewed bool) {
-	route, ok := table.Match(request.Message.Host, request.Message.Path())
+// run answers the request. renewed is set when a newer configuration was learned before
+// it was run.
+func (g *routing) run(ctx context.Context) (answer RoutedAnswer, renewed bool) {
+	message := g.request.Message
+	route, ok := g.table.Match(message.Host, message.Path())
 	if !ok {
-		answer := refuseRouted(ReasonUnknownRoute, 0, "no route for host %q", request.Message.Host)
-		answer.ConfigurationVersion = table.version
+		answer := refuseRouted(ReasonUnknownRoute, 0, "no route for host %q", message.Host)
+		answer.ConfigurationVersion = g.table.version
 		return answer, false
 	}
-	g := &routing{router: r, request: request, table: table, route: route, deadline: request.Arrived + route.Timeout}
-	if request.Deadline != 0 {
-		g.deadline = min(g.deadline, request.Deadline)
+	g.route = route
+	g.deadline = g.request.Arrived + route.Timeout
+	if g.request.Deadline != 0 {
+		g.deadline = min(g.deadline, g.request.Deadline)
 	}
 	answer, renewed = g.answer(ctx)
 	answer.Route = route.Name
-	answer.ConfigurationVersion = table.version
-	answer.MoveOn = answer.MoveOn || r.Lag.Overloaded()
+	answer.ConfigurationVersion = g.table.version
+	// A caller's connection is to the instance that delegated the request.
+	answer.MoveOn = answer.MoveOn || (!g.delegated && g.router.Lag.Overloaded())
 	return answer, renewed
 }
 
@@ -143,26 +149,36 @@
 	// The request has waited to be read for about as long as the process is behind.
 	lag := r.Lag.Lag()
 	g.deadline -= ReplyMarginMillis + Millis(lag)
+	objective := float64(g.route.Objective)
 	delegates := r.Choice.Delegates()
 	switch {
-	case lag > OverloadRefuseFactor*float64(g.route.Objective):
-		answer = refuseRouted(ReasonOverloaded, RetrySoonMillis, "this instance is %.0f ms behind", lag)
+	case lag > ReliefRefuseFactor*objective:
+		return g.refuseBehind(lag), false
 	case r.crashes.convicted(g.request.fingerprint):
 		r.Counters.Add(CountCrashersRefused, 1)
-		answer = refuseRouted(ReasonCrashesUpstreams, 0, "requests with fingerprint %s crash upstreams", g.request.fingerprint)
+		return refuseRouted(ReasonCrashesUpstreams, 0, "requests with fingerprint %s crash upstreams", g.request.fingerprint), false
 	case g.deadline <= r.Clock.Now():
-		answer = refuseRouted(ReasonDeadlinePassed, 0, "the deadline has passed")
+		return refuseRouted(ReasonDeadlinePassed, 0, "the deadline has passed"), false
 	case len(delegates) > 0:
 		r.Counters.Add(CountDelegated, 1)
 		return g.delegate(ctx, delegates)
+	}
+	if answer, renewed, done := g.relieve(ctx); done {
+		return answer, renewed
+	}
+	switch {
+	case lag > OverloadRefuseFactor*objective:
+		return g.refuseBehind(lag), false
 	case r.Choice.Settling():
-		answer = refuseRouted(ReasonNotReady, RetrySoonMillis, "the list of upstreams is being read")
+		return refuseRouted(ReasonNotReady, RetrySoonMillis, "the list of upstreams is being read"), false
 	case g.route.Scattered():
-		answer = r.scatter(ctx, g.route, g.request, g.deadline)
-	default:
-		answer = r.forward(ctx, g.route, g.request, g.deadline)
+		return r.scatter(ctx, g.route, g.request, g.deadline), false
 	}
-	return answer, false
+	return r.forward(ctx, g.route, g.request, g.deadline), false
+}
+
+func (g *routing) refuseBehind(lag float64) RoutedAnswer {
+	return refuseRouted(ReasonOverloaded, RetrySoonMillis, "this instance is %.0f ms behind", lag)
 }
 
 // forward has one upstream of one destination answer the request.
