--- a/cli/routes.go
+++ b/cli/routes.go
@@ -185,7 +185,28 @@
 
 // serveReady returns the server that answers the balancer.
 func (r *routes) serveReady() *http.Server {
-	return &http.Server{Handler: platform.ReadyHandler(r.instance.readyForMore), ReadHeaderTimeout: readHeaderTimeout}
+	ready := func(ctx context.Context) bool {
+		r.instance.awaitStart(ctx)
+		return r.instance.readyForMore()
+	}
+	return &http.Server{Handler: platform.ReadyHandler(ready), ReadHeaderTimeout: readHeaderTimeout}
+}
+
+const (
+	// startPatience is how long the balancer's question waits for an instance that has
+	// just started: the next one comes a second later.
+	startPatience = 400 * core.Millis(1)
+	startPoll     = 10 * core.Millis(1)
+)
+
+// awaitStart waits a while for an instance that has just started to know enough to serve.
+func (i *instance) awaitStart(ctx context.Context) {
+	until := i.clock.Now() + startPatience
+	for !i.current() && i.clock.Now() < until {
+		if i.clock.Sleep(ctx, startPoll) != nil {
+			return
+		}
+	}
 }
 
 // callers returns the handler of callers' requests.
