Let requests that have time wait at the gate; trace the rolling restart of upstreams

Cause of the known red test: with few processors every answer that is not whole is a refusal by the gate (25 runs on one or two cores: 18 to 558 refusals, not one answer in part, unknown or lost; spread evenly over the run, not near restarts). Its limit falls to two requests when stalls of the processes make answers late, and a third waited 15 ms only, of a second, and less if its timer was late. Ruled out: an upstream that was not seen to be back (no answer lacked a shard). Change: the wait at the gate is a twentieth of the request's time where that is longer than an answer takes, and a late timer does not end it.

--- a/core/constants.go
+++ b/core/constants.go
@@ -90,6 +90,11 @@
 	CongestedLatencyFactor = 1.5
 	// GateLeast is the least limit on requests in flight.
 	GateLeast = 2.0
+	// GatePatiencePart is the part of a request's time that it may wait for room at the
+	// gate, so that a stall of the process refuses no request that has time.
+	GatePatiencePart = 0.05
+	// GateSlackMillis is how late the wait for room may end for it to count as over.
+	GateSlackMillis = 3 * Millis(1)
 	// GateDecrease multiplies the limit when it is lowered.
 	GateDecrease = 0.9
 	// GateIncrease is what the limit gains over as many answers as it allows in
--- a/core/engine.go
+++ b/core/engine.go
@@ -197,11 +197,12 @@
 	priority := admitted.kind.Priority
 	instance := e.Gates.Instance()
 	started := e.Clock.Now()
-	if !instance.Enter(ctx, priority, MaxInFlight) {
+	left := admitted.deadline - started
+	if !instance.Enter(ctx, priority, MaxInFlight, left) {
 		return nil, false
 	}
 	gate := e.Gates.Collection(admitted.collection.Name)
-	if !gate.Enter(ctx, priority, e.collectionRoom(admitted.collection)) {
+	if !gate.Enter(ctx, priority, e.collectionRoom(admitted.collection), left) {
 		instance.Leave(e.Clock.Since(started), false)
 		return nil, false
 	}
--- a/core/gate.go
+++ b/core/gate.go
@@ -44,9 +44,9 @@
 }
 
 // Enter admits a request or reports that there is no room for it. It may wait
-// as long as answers take without load. most is the limit above which the gate
-// never admits.
-func (g *Gate) Enter(ctx context.Context, priority, most int) bool {
+// as long as answers take without load, or for a part of left, the time that the
+// request has. most is the limit above which the gate never admits.
+func (g *Gate) Enter(ctx context.Context, priority, most int, left Millis) bool {
 	g.mu.Lock()
 	g.limit = max(GateLeast, min(g.limit, float64(most)))
 	if g.admits(priority) {
@@ -55,7 +55,7 @@
 		return true
 	}
 	w := g.enqueue(priority)
-	patience := Millis(g.calm)
+	patience := max(Millis(g.calm), Millis(GatePatiencePart*float64(left)))
 	g.mu.Unlock()
 	if w == nil {
 		return false
@@ -64,11 +64,17 @@
 }
 
 func (g *Gate) await(ctx context.Context, w *gateWaiter, patience Millis) bool {
-	select {
-	case admitted := <-w.admitted:
-		return admitted
-	case <-g.clock.After(patience):
-	case <-ctx.Done():
+	for waiting := true; waiting; {
+		started := g.clock.Now()
+		select {
+		case admitted := <-w.admitted:
+			return admitted
+		case <-g.clock.After(patience):
+			// After a stall of this process, the answers that make room are there unread.
+			waiting = g.clock.Since(started)-patience >= GateSlackMillis
+		case <-ctx.Done():
+			waiting = false
+		}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/core/policy_test.go
+++ b/core/policy_test.go
@@ -34,7 +34,7 @@
 		ctx := context.Background()
 		enter := func(priority int) int {
 			admitted := 0
-			for gate.Enter(ctx, priority, 9) {
+			for gate.Enter(ctx, priority, 9, 0) {
 				admitted++
 			}
 			return admitted
@@ -46,46 +46,46 @@
 		})
 		Convey("always admits the least", func() {
 			for range 200 {
-				gate.Enter(ctx, 2, 9)
+				gate.Enter(ctx, 2, 9, 0)
 				time.now += 100
 				gate.Leave(10, true)
 			}
-			So(gate.Enter(ctx, 0, 9), ShouldBeTrue)
+			So(gate.Enter(ctx, 0, 9, 0), ShouldBeTrue)
 			for range int(GateLeast) - 1 {
-				So(gate.Enter(ctx, 2, 9), ShouldBeTrue)
+				So(gate.Enter(ctx, 2, 9, 0), ShouldBeTrue)
 			}
-			So(gate.Enter(ctx, 2, 9), ShouldBeFalse)
+			So(gate.Enter(ctx, 2, 9, 0), ShouldBeFalse)
 		})
 		Convey("admits fewer when answers take longer than without load", func() {
-			gate.Enter(ctx, 2, 9)
+			gate.Enter(ctx, 2, 9, 0)
 			gate.Leave(10, false)
 			for range 50 {
-				gate.Enter(ctx, 2, 9)
+				gate.Enter(ctx, 2, 9, 0)
 				time.now += 100
 				gate.Leave(40, false)
 			}
 			So(gate.State().Limit, ShouldBeLessThan, 3)
 		})
 		Convey("does not admit fewer after one very late answer", func() {
-			gate.Enter(ctx, 2, 9)
+			gate.Enter(ctx, 2, 9, 0)
 			gate.Leave(10, false)
-			gate.Enter(ctx, 2, 9)
+			gate.Enter(ctx, 2, 9, 0)
 			gate.Leave(1000, false)
 			So(gate.State().Limit, ShouldBeGreaterThanOrEqualTo, 9)
 		})
 		Convey("turns away a waiter of a lower priority for one of a higher", func() {
-			gate.Enter(ctx, 2, 9)
+			gate.Enter(ctx, 2, 9, 0)
 			gate.Leave(500, false)
-			for gate.Enter(ctx, 2, 1) {
+			for gate.Enter(ctx, 2, 1, 0) {
 				break
 			}
 			low := make(chan bool, 1)
-			go func() { low <- gate.Enter(ctx, 0, 1) }()
+			go func() { low <- gate.Enter(ctx, 0, 1, 0) }()
 			for len(gate.waiting()) == 0 {
 				runtime.Gosched()
 			}
 			high := make(chan bool, 1)
-			go func() { high <- gate.Enter(ctx, 2, 1) }()
+			go func() { high <- gate.Enter(ctx, 2, 1, 0) }()
 			So(<-low, ShouldBeFalse)
 			gate.Leave(500, false)
 			So(<-high, ShouldBeTrue)
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -105,6 +105,11 @@
 	c := count(t, results)
 	if c.lost+c.notRun+c.unknown > 0 || c.whole < len(results) {
 		t.Errorf("want every request answered whole")
+		for _, s := range results {
+			if s.err != nil || s.answer.Reason != "" {
+				t.Logf("%s after %v: %s %s %v", s.entry, s.started.Sub(results[0].started), s.answer.Outcome, s.answer.Reason, s.err)
+			}
+		}
 	}
 }
 
