Keep a soak of real processes with faults from outside

Cause: the users ask for one; tests so far cause one fault at a time, in simulated time or with one process.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race demo bench capacity faults lint format generate
+.PHONY: build test race demo bench capacity faults soak lint format generate
 LINT := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 
 build:
@@ -23,6 +23,12 @@
 faults:
 	go run ./standin/faults
 
+# SEED and SEEDS choose what is played; each seed takes 14 s.
+SEED ?= 1
+SEEDS ?= 50
+soak:
+	go test -count=1 -timeout 60m -run TestSoak -v ./platform -args -soak.seed=$(SEED) -soak.seeds=$(SEEDS)
+
 lint:
 	go run $(LINT) run ./...
 
