--- a/core/publications_test.go
+++ b/core/publications_test.go
@@ -158,7 +158,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := startPublications(t, 2*Second)
 		f.hearOf(0)
-		time.Sleep(100 * time.Millisecond)
+		// The choice of delegates may stand for delegationMillis from before.
+		time.Sleep((delegationMillis + 100).Duration())
 		if reads := f.platform.count(KeyInstances); reads > 0 || !f.publications.AllTried() {
 			t.Errorf("%d reads of the list beside a strong instance", reads)
 		}
