--- a/core/relief_test.go
+++ b/core/relief_test.go
@@ -53,6 +53,7 @@
 		inBubble(t, func(t *testing.T) {
 			f := newRouterFixture(3, 2, scatteredRoute(3, 0.9))
 			f.choice.relievers = []PeerInfo{{Name: "x", Address: "x"}}
+			f.choice.answer = map[string]delegateAct{"x": delegateAnswers(refuseRouted(ReasonOverloaded, RetrySoonMillis, "behind"))}
 			f.fallBehind(12)
 			answer := f.router.AnswerDelegated(context.Background(), DelegatedRequest{
 				Request:              RoutedRequest{ID: "id", Message: Message{Method: "GET", Host: "h", Target: "/p/1"}},
--- a/standin/faults/list.go
+++ b/standin/faults/list.go
@@ -187,4 +187,69 @@
 		old: "	default:\n		w.dropped.Add(1)\n", new: "	case <-w.done:\n",
 		pkg: "./io/operator", test: "TestLogWriter",
 	},
+	{
+		name: "crashesAtOneMomentCount", file: "core/quarantine.go",
+		old: "(entry.crashes > 0 && sent < entry.lostAt)", new: "false",
+		pkg: "./core", test: "TestBystandersOfCrashes",
+	},
+	{
+		name: "lostConnectionsCountAsCrashes", file: "core/crashwatch.go",
+		old: "if w.fleet.Unreachable(upstream) {", new: "if true {",
+		pkg: "./core", test: "TestRequestsThatCrashUpstreams",
+	},
+	{
+		name: "brokenCallDelegatedAgain", file: "io/peer/delegate.go",
+		old: "if reached.Addr == nil || refusedCall(err) {", new: "if true {",
+		pkg: "./io/peer", test: "TestDelegatedRequests",
+	},
+	{
+		name: "delegatedUnderAnotherConfiguration", file: "core/delegate.go",
+		old: "table == nil || table.version != delegated.ConfigurationVersion", new: "table == nil",
+		pkg: "./core", test: "TestDelegatedConfigurations",
+	},
+	{
+		name: "silentDelegateIsWaitedFor", file: "core/delegate.go",
+		old: "if !g.router.Choice.HeardSince(delegate.Address, sent) {\n			cancel()", new: "if false {\n			cancel()",
+		pkg: "./core", test: "TestDelegatedRequests",
+	},
+	{
+		name: "oldListAfterDelegates", file: "core/aggregators.go",
+		old: "return ended != 0 && since < SettleMillis", new: "return false && since < SettleMillis",
+		pkg: "./core", test: "TestSettlingAfterDelegates",
+	},
+	{
+		name: "everyInstanceReadsTheList", file: "core/publications.go",
+		old: "key == KeyInstances && (delegating || p.Peers.Joining())", new: "delegating && key == \"\"",
+		pkg: "./core", test: "TestReadersAndThoseThatRelyOnThem",
+	},
+	{
+		name: "noReliefWhileBehind", file: "core/relief.go",
+		old: "if g.delegated || !r.relief.wanted() {", new: "if true {",
+		pkg: "./core", test: "TestRelief",
+	},
+	{
+		name: "reliefPassedOn", file: "core/relief.go",
+		old: "if g.delegated || !r.relief.wanted() {", new: "if !r.relief.wanted() {",
+		pkg: "./core", test: "TestRelief",
+	},
+	{
+		name: "connectionClosedAfterAnyFailure", file: "core/exchange.go",
+		old: "if errors.Is(limited.Err(), context.DeadlineExceeded) {", new: "if errors.Is(err, err) {",
+		pkg: "./core", test: "TestSilentPeers",
+	},
+	{
+		name: "sentAfterTheAnswer", file: "core/dispatch.go",
+		old: "		if err := ctx.Err(); err != nil {\n			return nil, err\n		}\n		permit, err", new: "		permit, err",
+		pkg: "./core", test: "TestNothingIsSentAfterTheAnswer",
+	},
+	{
+		name: "oneLostAnswerTakesAnUpstreamOut", file: "core/dispatch.go",
+		old: "want.KeepBroken = true", new: "want.KeepBroken = false",
+		pkg: "./core", test: "TestUpstreamsThatLoseAnswers",
+	},
+	{
+		name: "gateEndsWithALateTimer", file: "core/gate.go",
+		old: "waiting = g.clock.Since(started)-patience >= GateSlackMillis", new: "waiting = g.clock.Since(started) < 0",
+		pkg: "./core", test: "TestGateAfterAStall",
+	},
 }
