--- a/cli/routes.go
+++ b/cli/routes.go
@@ -18,8 +18,9 @@
 	// routesExchangeInterval is the pause between two exchanges with one peer:
 	// peers only help out where the store turns an instance away.
 	routesExchangeInterval = 2 * core.Second
-	// routesExchangePerInstance keeps the cost of exchanges at an instance, with as
-	// many links as the logarithm of the fleet, below a kilobyte a second.
+	// routesExchangePerInstance keeps the cost of exchanges at an instance that sends
+	// requests to upstreams, with as many links as the logarithm of the number of such,
+	// below a kilobyte a second.
 	routesExchangePerInstance = 50 * core.Millis(1)
 )
 
--- a/core/aggregators_test.go
+++ b/core/aggregators_test.go
@@ -49,7 +49,7 @@
 				if len(delegates) == 0 {
 					senders.Add(self.Name)
 				} else if len(delegates) != tc.delegates {
-					t.Fatalf("%s has delegates %v", self.Name, names(delegates))
+					t.Fatalf("%s has delegates %v", self.Name, instanceNames(delegates))
 				}
 			}
 			if len(senders) != tc.senders {
@@ -78,10 +78,10 @@
 		})
 	}
 	if got := delegatesFor(self, without("a-800-0")); len(got) == 0 || got[0].Name != "a-800-1" {
-		t.Errorf("one lost: %v", names(got))
+		t.Errorf("one lost: %v", instanceNames(got))
 	}
 	if got := delegatesFor(self, without("a-800-0", "a-800-1")); len(got) != MaxDelegates || got[0].Zone == "a" || got[0].Capacity != 800 {
-		t.Errorf("both lost: %v", names(got))
+		t.Errorf("both lost: %v", instanceNames(got))
 	}
 	all := []string{"a-800-0", "a-800-1", "b-800-0", "b-800-1", "c-800-0", "c-800-1"}
 	for _, delegate := range delegatesFor(self, without(all...)) {
@@ -90,6 +90,6 @@
 		}
 	}
 	if got := delegatesFor(self, nil); len(got) > 0 {
-		t.Errorf("alone: %v", names(got))
+		t.Errorf("alone: %v", instanceNames(got))
 	}
 }
--- /dev/null
+++ b/core/delegation.go
@@ -0,0 +1,174 @@
+package core
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+// delegation is what an instance knows of those that it delegates to.
+type delegation struct {
+	to []PeerInfo
+	// senders is how many instances send requests to upstreams.
+	senders int
+	// until is when this is worked out anew.
+	until Millis
+	// endedAt is when this instance began to send requests to upstreams itself after it
+	// had delegated them, or zero.
+	endedAt Millis
+}
+
+// Delegates returns the instances that requests are delegated to, in the order in which
+// they are tried. There are none where this instance sends them to upstreams itself.
+func (p *Peers) Delegates() []PeerInfo {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.currentDelegation().to
+}
+
+// Joining reports whether the instance has just started and may yet hear of others that
+// it can delegate requests to.
+func (p *Peers) Joining() bool {
+	return p.Clock.Since(p.startedAt) < p.Join && len(p.Delegates()) == 0
+}
+
+// Senders returns how many instances send requests to upstreams, as far as is known.
+func (p *Peers) Senders() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.currentDelegation().senders
+}
+
+// ReadForOthers reports whether there are instances that rely on others to read the
+// platform.
+func (p *Peers) ReadForOthers() bool {
+	return p.Delegate && p.Senders() < p.Size()
+}
+
+// Settling reports whether this instance has just begun to send requests to upstreams
+// itself and has not read the platform since. What it knows of upstreams is old then.
+func (p *Peers) Settling() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ended := p.currentDelegation().endedAt
+	since := p.Clock.Since(ended)
+	return ended != 0 && since < SettleMillis && p.Store.ListReadAge() > since
+}
+
+// DelegateFailed takes in that an instance did not take a delegated request. It gets no
+// more of them until it is heard again.
+func (p *Peers) DelegateFailed(address string, err error) {
+	p.noteFailure(address, err)
+	p.kick(address)
+}
+
+// Relievers implements DelegateChoice.
+func (p *Peers) Relievers() []PeerInfo {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.Clock.Now()
+	usable := p.known(func(peer *peerState) bool { return peer.failuresInRow == 0 && now >= peer.busyUntil })
+	var senders []PeerInfo
+	for _, aggregators := range aggregatorsByZone(append([]PeerInfo{p.Self}, usable...)) {
+		senders = append(senders, aggregators...)
+	}
+	senders = slices.DeleteFunc(senders, func(o PeerInfo) bool { return o.Name == p.Self.Name })
+	rand.Shuffle(len(senders), func(i, j int) { senders[i], senders[j] = senders[j], senders[i] })
+	return senders
+}
+
+// Busy implements DelegateChoice.
+func (p *Peers) Busy(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if peer, ok := p.peers[address]; ok {
+		peer.busyUntil = p.Clock.Now() + BusyMillis
+	}
+}
+
+// HeardSince reports whether a peer was heard after the given time.
+func (p *Peers) HeardSince(address string, at Millis) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer, ok := p.peers[address]
+	return ok && peer.heardAt > at
+}
+
+// currentDelegation returns the delegation, worked out anew from time to time. The
+// caller holds the lock.
+func (p *Peers) currentDelegation() delegation {
+	now := p.Clock.Now()
+	if now < p.delegation.until {
+		return p.delegation
+	}
+	before := p.delegation
+	p.delegation.until = now + delegationMillis
+	p.delegation.to = nil
+	p.delegation.senders = 1
+	if !p.Delegate {
+		return p.delegation
+	}
+	usable := p.known(func(peer *peerState) bool { return peer.failuresInRow == 0 })
+	p.delegation.to = delegatesFor(p.Self, usable)
+	p.delegation.senders = p.countSenders()
+	switch {
+	case len(p.delegation.to) > 0:
+		p.delegation.endedAt = 0
+	case len(before.to) > 0:
+		p.delegation.endedAt = now
+	}
+	if (len(before.to) == 0) != (len(p.delegation.to) == 0) {
+		p.Log.Info("delegation changed", "delegates", instanceNames(p.delegation.to), "senders", p.delegation.senders)
+	}
+	return p.delegation
+}
+
+func instanceNames(instances []PeerInfo) []string {
+	var names []string
+	for _, instance := range instances {
+		names = append(names, instance.Name)
+	}
+	return names
+}
+
+func (p *Peers) countSenders() int {
+	count := 0
+	for _, aggregators := range aggregatorsByZone(append([]PeerInfo{p.Self}, p.known(nil)...)) {
+		count += len(aggregators)
+	}
+	return max(1, count)
+}
+
+// known returns the other instances that were heard of lately, are not leaving and
+// match. The caller holds the lock.
+func (p *Peers) known(match func(*peerState) bool) []PeerInfo {
+	now := p.Clock.Now()
+	var known []PeerInfo
+	for _, peer := range p.peers {
+		if peer.info.Incarnation == 0 || peer.info.Leaving || now-peer.heardAt > KnownPeerMillis {
+			continue
+		}
+		if match == nil || match(peer) {
+			known = append(known, peer.info)
+		}
+	}
+	return known
+}
+
+// delegationLinks returns the peers to exchange with in a fleet in which some instances
+// delegate: an instance that does is linked with those that it may delegate to, and the
+// others with each other. The caller holds the lock.
+func (p *Peers) delegationLinks() []string {
+	known := p.known(nil)
+	linked := append(delegatesFor(p.Self, known), p.currentDelegation().to...)
+	if len(linked) == 0 {
+		for _, aggregators := range aggregatorsByZone(append([]PeerInfo{p.Self}, known...)) {
+			linked = append(linked, aggregators...)
+		}
+	}
+	addresses := NewSet[string]()
+	for _, instance := range linked {
+		addresses.Add(instance.Address)
+	}
+	delete(addresses, p.Self.Address)
+	return addresses.Sorted()
+}
--- a/core/peers.go
+++ b/core/peers.go
@@ -31,7 +31,8 @@
 	Facts    *FactLog
 	Counters *Counters
 	Log      logr.Logger
-	// ReadersPerZone is how many instances of a zone watch the platform.
+	// ReadersPerZone is how many instances of a zone watch the platform. With Delegate,
+	// those that send requests to upstreams do.
 	ReadersPerZone int
 	// ExchangeInterval is the pause between two exchanges with one peer.
 	ExchangeInterval Millis
--- a/standin/faults/list.go
+++ b/standin/faults/list.go
@@ -213,7 +213,7 @@
 		pkg: "./core", test: "TestDelegatedRequests",
 	},
 	{
-		name: "oldListAfterDelegates", file: "core/aggregators.go",
+		name: "oldListAfterDelegates", file: "core/delegation.go",
 		old: "return ended != 0 && since < SettleMillis", new: "return false && since < SettleMillis",
 		pkg: "./core", test: "TestSettlingAfterDelegates",
 	},
