Bound the heads of replies and the memory for replies that are read

Cause: the reader of a connection to an upstream had no limit for heads, and bodies were allocated on the word of their length.

Ruled out: a limit for each connection only (300 bodies of up to 8 MB are allowed each).

Now heads are read up to 16 KB with their interim replies, of which there may be 8, and all connections together hold 32 MB at most of replies beyond a free read buffer each. Over that the attempt fails as a bad reply at once.

--- a/core/constants.go
+++ b/core/constants.go
@@ -6,6 +6,12 @@
 	MaxBodyBytes = 256 << 10
 	// MaxReplyBytes is the largest reply that is read from an upstream.
 	MaxReplyBytes = 8 << 20
+	// MaxReplyHeadBytes is the longest head of a reply that is read from a server, with the
+	// interim replies before it.
+	MaxReplyHeadBytes = 16 << 10
+	// MaxHeldReplyBytes is how much memory all replies that are being read may take: with
+	// what the garbage collector leaves, under half of a usual instance's 184 MB.
+	MaxHeldReplyBytes = 32 << 20
 	// MaxIdentityBytes is the longest request identity that a caller may choose.
 	MaxIdentityBytes = 128
 	// MaxTimeoutMillis is the longest deadline that a kind or a caller may set.
@@ -243,9 +249,11 @@
 	// DelegateHopMillis is kept back for the way of a delegated request and its answer
 	// between two instances, of which one has little processor time.
 	DelegateHopMillis = 5 * Millis(1)
-	// DelegateSilenceMillis is how long after its objective a delegated request is
-	// given up if its delegate was not heard since it was sent.
+	// DelegateSilenceMillis is how long after the objective of a delegated request its
+	// delegate is asked whether it is there, unless it was heard since the request was sent.
 	DelegateSilenceMillis = 100 * Millis(1)
+	// DelegateAskMillis is the pause until it is asked again while the request is under way.
+	DelegateAskMillis = 500 * Millis(1)
 	// ReliefLagMillis is the lag from which an instance has others answer its requests.
 	ReliefLagMillis = 8.0
 	// ReliefMinMillis and ReliefMaxMillis are the first and the longest time for which
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -17,6 +17,7 @@
 	clock    core.Clock
 	dialer   *net.Dialer
 	counters *core.Counters
+	memory   *replyMemory
 
 	mu    sync.Mutex
 	lanes map[string]*lanes
@@ -24,7 +25,7 @@
 
 // New returns a client without connections, which it will make with the dialer.
 func New(clock core.Clock, dialer *net.Dialer, counters *core.Counters) *Client {
-	return &Client{clock: clock, dialer: dialer, counters: counters, lanes: map[string]*lanes{}}
+	return &Client{clock: clock, dialer: dialer, counters: counters, memory: &replyMemory{}, lanes: map[string]*lanes{}}
 }
 
 func (c *Client) lanesOf(target core.Target) *lanes {
@@ -41,7 +42,7 @@
 	if ok {
 		known.close()
 	}
-	fresh := newLanes(c.clock, c.dialer, target)
+	fresh := newLanes(c.clock, c.dialer, c.memory, target)
 	c.lanes[target.Name] = fresh
 	return fresh
 }
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,9 +13,15 @@
 	"acaciavane/core"
 )
 
-// maxForeignReplies is how many replies to other requests are passed over on a
-// connection before it is given up.
-const maxForeignReplies = 2
+const (
+	// maxForeignReplies is how many replies to other requests are passed over on a
+	// connection before it is given up.
+	maxForeignReplies = 2
+	// maxInterimReplies is how many replies with a 1xx status may come before a final one.
+	maxInterimReplies = 8
+	// bodyAheadBytes is the longest body that is allocated on the word of its length.
+	bodyAheadBytes = 64 << 10
+)
 
 // Request is one HTTP request as it is sent to an upstream.
 type Request struct {
@@ -105,6 +112,7 @@
 func (c *Client) roundTrip(ctx context.Context, lane *lane, request Request, own func(http.Header) bool) (Response, bool, error) {
 	stop := context.AfterFunc(ctx, func() { _ = lane.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
+	defer lane.intake.reset()
 	written, err := lane.conn.Write(request.encode())
 	if err != nil {
 		if written == 0 {
@@ -138,11 +146,11 @@
 	}
 	defer func() { _ = head.Body.Close() }()
 	body, err := readBody(head)
-	if err != nil {
-		return Response{}, false, exchangeError(ctx, "read reply", err)
+	if err != nil && !connectionBroke(err) {
+		return Response{}, false, &core.AttemptError{Kind: core.FailureBadReply, Detail: "read body", Cause: err}
 	}
-	if len(body) > core.MaxReplyBytes {
-		return Response{}, false, badReply("the reply is too large")
+	if err != nil {
+		return Response{}, false, exchangeError(ctx, "read body", err)
 	}
 	l.noteKeepAlive(head.Header.Get("Keep-Alive"))
 	response := Response{Status: head.StatusCode, Header: head.Header, Body: body}
@@ -151,7 +159,9 @@
 
 // readHead returns the head of the next reply that is not an interim one.
 func (l *lane) readHead(ctx context.Context, method string) (*http.Response, error) {
-	for {
+	l.intake.beginHead()
+	defer l.intake.endHead()
+	for range maxInterimReplies + 1 {
 		head, err := http.ReadResponse(l.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, exchangeError(ctx, "read reply", err)
@@ -160,19 +170,36 @@
 			return head, nil
 		}
 	}
+	return nil, badReply("interim replies without a final one")
 }
 
 func readBody(head *http.Response) ([]byte, error) {
-	if head.ContentLength >= 0 && head.ContentLength <= core.MaxReplyBytes {
+	switch {
+	case head.ContentLength > core.MaxReplyBytes:
+		return nil, errReplyTooLarge
+	case head.ContentLength >= 0 && head.ContentLength <= bodyAheadBytes:
 		body := make([]byte, head.ContentLength)
 		_, err := io.ReadFull(head.Body, body)
 		return body, err
 	}
-	return io.ReadAll(io.LimitReader(head.Body, core.MaxReplyBytes+1))
+	body, err := io.ReadAll(io.LimitReader(head.Body, core.MaxReplyBytes+1))
+	if err == nil && len(body) > core.MaxReplyBytes {
+		err = errReplyTooLarge
+	}
+	return body, err
+}
+
+// connectionBroke tells errors of a connection from those of what came on it.
+func connectionBroke(err error) bool {
+	var failure net.Error
+	return errors.As(err, &failure) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF)
 }
 
 // exchangeError classifies an error after bytes of the request may have left.
 func exchangeError(ctx context.Context, detail string, err error) error {
+	if errors.Is(err, errReplyTooLarge) {
+		return &core.AttemptError{Kind: core.FailureBadReply, Detail: detail, Cause: err}
+	}
 	if ctx.Err() != nil {
 		return &core.AttemptError{Kind: core.FailureTimeout, Detail: detail, Cause: fmt.Errorf("%w: %w", ctx.Err(), err)}
 	}
--- a/io/upstream/lanes.go
+++ b/io/upstream/lanes.go
@@ -27,6 +27,7 @@
 // lane is one connection to an upstream. It carries one request at a time.
 type lane struct {
 	conn   net.Conn
+	intake *intake
 	reader *bufio.Reader
 	// usedAt is when the last reply on it was whole.
 	usedAt core.Millis
@@ -65,6 +66,7 @@
 type lanes struct {
 	clock  core.Clock
 	dialer *net.Dialer
+	memory *replyMemory
 	target core.Target
 	// room holds a token for each connection that may yet be in use.
 	room chan struct{}
@@ -78,8 +80,8 @@
 	closed bool
 }
 
-func newLanes(clock core.Clock, dialer *net.Dialer, target core.Target) *lanes {
-	l := &lanes{clock: clock, dialer: dialer, target: target, room: make(chan struct{}, maxLanes)}
+func newLanes(clock core.Clock, dialer *net.Dialer, memory *replyMemory, target core.Target) *lanes {
+	l := &lanes{clock: clock, dialer: dialer, memory: memory, target: target, room: make(chan struct{}, maxLanes)}
 	l.resize(target.Lanes)
 	return l
 }
@@ -157,7 +159,8 @@
 	if err != nil {
 		return nil, &core.AttemptError{Kind: core.FailureNotSent, Detail: "connect", Cause: err}
 	}
-	return &lane{conn: conn, reader: bufio.NewReaderSize(conn, readBufferBytes), usedAt: l.clock.Now()}, nil
+	intake := &intake{conn: conn, memory: l.memory}
+	return &lane{conn: conn, intake: intake, reader: bufio.NewReaderSize(intake, readBufferBytes), usedAt: l.clock.Now()}, nil
 }
 
 // put gives back a lane whose connection may be used again.
