Ask a delegate whether it is there before giving its answer up

Cause: a delegate counted as heard by exchanges only, one a second, so that a request which took longer than its objective and 100 ms was given up while the delegate worked on it, and the caller got 502 though the answer was on its way.

Now an exchange with the delegate decides, shared by the requests that wait for it, and again each 500 ms.

--- a/core/delegate.go
+++ b/core/delegate.go
@@ -26,6 +26,9 @@
 	// Busy takes in that an instance refused a request as it was behind.
 	Busy(address string)
 	HeardSince(address string, at Millis) bool
+	// Responds reports whether an instance was heard after the given time, or answers now
+	// that it is asked. It takes ExchangeTimeoutMillis at most.
+	Responds(ctx context.Context, address string, at Millis) bool
 	// Settling reports whether what is known of upstreams is too old to send them requests.
 	Settling() bool
 }
@@ -88,14 +91,14 @@
 		delegate.Name, reply.Answer.ConfigurationVersion, g.table.version), false
 }
 
-// call makes one call to a delegate. It ends early when the delegate falls silent.
+// call makes one call to a delegate. It ends early when the delegate does not respond.
 func (g *routing) call(ctx context.Context, delegate PeerInfo, configuration []byte) (DelegatedAnswer, error) {
 	clock := g.router.Clock
 	sent := clock.Now()
 	limited, cancel := clock.WithDeadline(ctx, g.deadline)
 	defer cancel()
 	if g.route.Idempotent {
-		defer g.watch(delegate, sent, cancel)()
+		defer g.watch(ctx, delegate, sent, cancel)()
 	}
 	reply, err := g.router.DelegateClient.Delegate(limited, delegate.Address, DelegatedRequest{
 		Request:              g.request,
@@ -110,15 +113,28 @@
 	return reply, err
 }
 
-// watch calls cancel if the delegate has not been heard until some time after the
-// objective of the route. The returned function ends the watch.
-func (g *routing) watch(delegate PeerInfo, sent Millis, cancel func()) func() {
-	stop := g.router.Clock.AfterFunc(g.route.Objective+DelegateSilenceMillis, func() {
-		if !g.router.Choice.HeardSince(delegate.Address, sent) {
+// watch calls cancel once the delegate, asked some time after the objective of the route
+// and from time to time from then on, does not respond. The returned function ends the
+// watch.
+func (g *routing) watch(ctx context.Context, delegate PeerInfo, sent Millis, cancel func()) func() {
+	watching, end := context.WithCancel(ctx)
+	clock := g.router.Clock
+	since := sent
+	var ask func()
+	ask = func() {
+		now := clock.Now()
+		responds := g.router.Choice.Responds(watching, delegate.Address, since)
+		switch {
+		case watching.Err() != nil:
+		case responds:
+			since = now
+			clock.AfterFunc(DelegateAskMillis, ask)
+		default:
 			cancel()
 		}
-	})
-	return func() { stop() }
+	}
+	stop := clock.AfterFunc(g.route.Objective+DelegateSilenceMillis, ask)
+	return func() { stop(); end() }
 }
 
 // AnswerDelegated answers a request of another instance. ctx ends when that one does
--- a/core/delegate_test.go
+++ b/core/delegate_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 )
 
 // fakeDelegates are instances that answer delegated requests as told.
@@ -21,6 +22,16 @@
 	failed    []string
 	heard     bool
 	settling  bool
+	// responds is what is found out when an instance is asked whether it is there, until
+	// the given number of questions.
+	responds  bool
+	questions int
+	silentAt  int
+}
+
+func (f *fakeDelegates) Responds(context.Context, string, Millis) bool {
+	f.questions++
+	return f.heard || f.responds && (f.silentAt == 0 || f.questions < f.silentAt)
 }
 
 func (f *fakeDelegates) Delegates() []PeerInfo                  { return f.to }
@@ -106,6 +117,45 @@
 	}
 }
 
+// TestLateDelegatedAnswers covers answers that come long after the objective through a
+// delegate that was not heard meanwhile: it is asked before it is given up.
+func TestLateDelegatedAnswers(t *testing.T) {
+	late := func(ctx context.Context, _ DelegatedRequest) (DelegatedAnswer, error) {
+		select {
+		case <-time.After(900 * time.Millisecond):
+			return DelegatedAnswer{Answer: RoutedAnswer{Outcome: OutcomeAnswered, Merged: Some(MergedReply{Signatures: []string{"s"}})}}, nil
+		case <-ctx.Done():
+			return DelegatedAnswer{}, ctx.Err()
+		}
+	}
+	cases := []struct {
+		name     string
+		responds bool
+		silentAt int
+		outcome  Outcome
+		most     Millis
+	}{
+		{"one that responds is waited for", true, 0, OutcomeAnswered, 900},
+		{"one that does not is given up", false, 0, OutcomeUnknown, 200},
+		{"so is one that falls silent later", true, 2, OutcomeUnknown, 200 + DelegateAskMillis},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				f := newRouterFixture(3, 2, scatteredRoute(3, 0.9))
+				f.choice = fakeDelegates{
+					to: []PeerInfo{{Name: "a", Address: "a"}}, answer: map[string]delegateAct{"a": late},
+					responds: tc.responds, silentAt: tc.silentAt,
+				}
+				answer := f.ask(context.Background())
+				if answer.Outcome != tc.outcome || f.since() > tc.most {
+					t.Errorf("%s after %d ms, want %s after %d at most", answer.Outcome, f.since(), tc.outcome, tc.most)
+				}
+			})
+		})
+	}
+}
+
 // TestDelegatedTime covers what is left of a deadline and of an objective where a
 // request is delegated.
 func TestDelegatedTime(t *testing.T) {
--- a/core/delegation.go
+++ b/core/delegation.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"context"
 	"math/rand/v2"
 	"slices"
 )
@@ -93,6 +94,23 @@
 	return ok && peer.heardAt > at
 }
 
+// Responds implements DelegateChoice. Requests that wait for the same instance share one
+// question.
+func (p *Peers) Responds(ctx context.Context, address string, at Millis) bool {
+	if p.HeardSince(address, at) {
+		return true
+	}
+	answered := p.questions.DoChan(address, func() (any, error) {
+		return nil, p.exchange(context.WithoutCancel(ctx), address)
+	})
+	select {
+	case result := <-answered:
+		return result.Err == nil && p.HeardSince(address, at)
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // currentDelegation returns the delegation, worked out anew from time to time. The
 // caller holds the lock.
 func (p *Peers) currentDelegation() delegation {
--- a/core/peers.go
+++ b/core/peers.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/go-logr/logr"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/singleflight"
 )
 
 // PeerClient calls other instances.
@@ -63,6 +64,8 @@
 	fetchingList Millis
 	delegation   delegation
 	startedAt    Millis
+	// questions lets requests share the exchange that finds out whether a peer responds.
+	questions singleflight.Group
 	// relink signals that an instance was heard of for the first time.
 	relink chan struct{}
 }
--- a/core/router.go
+++ b/core/router.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync/atomic"
-	"time"
 
 	"github.com/go-logr/logr"
 )
@@ -189,7 +188,7 @@
 		answer.Service = service
 		return answer
 	}
-	work, release := r.workContext(ctx)
+	work, release := r.workContext(ctx, deadline)
 	defer release()
 	waiting, cancel := r.Clock.WithDeadline(work, deadline)
 	defer cancel()
@@ -229,8 +228,9 @@
 }
 
 // workContext returns the context of a request's attempts. It ends at once when
-// the caller leaves before release is called, and a while after release.
-func (r *Router) workContext(ctx context.Context) (context.Context, func()) {
+// the caller leaves before release is called, and a while after release, at the deadline
+// at the latest.
+func (r *Router) workContext(ctx context.Context, deadline Millis) (context.Context, func()) {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	stop := context.AfterFunc(ctx, cancel)
 	return work, func() {
@@ -238,7 +238,7 @@
 			cancel()
 			return
 		}
-		time.AfterFunc(LoserGraceMillis.Duration(), cancel)
+		r.Clock.AfterFunc(min(LoserGraceMillis, deadline-r.Clock.Now()), cancel)
 	}
 }
 
--- a/core/router_test.go
+++ b/core/router_test.go
@@ -578,6 +578,28 @@
 	})
 }
 
+// TestAttemptsEndWithTheDeadline covers upstreams that go on sending: what may go on after
+// an answer does not go on after the deadline.
+func TestAttemptsEndWithTheDeadline(t *testing.T) {
+	for _, coverage := range []float64{0.5, 1} {
+		inBubble(t, func(t *testing.T) {
+			f := newRouterFixture(4, 1, scatteredRoute(4, coverage))
+			f.set("s0-a", hangs())
+			f.router.Route(context.Background(), RoutedRequest{
+				ID: "id", Arrived: f.clock.Now(), Deadline: f.clock.Now() + 200,
+				Message: Message{Method: "GET", Host: "h", Target: "/p/1"},
+			})
+			time.Sleep(time.Second)
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			index := slices.IndexFunc(f.sent, func(a *sentAttempt) bool { return a.upstream == "s0-a" })
+			if at := f.sent[index].cancelled; at == 0 || at > 200 {
+				t.Errorf("coverage %.1f: the attempt was given up at %d ms", coverage, at)
+			}
+		})
+	}
+}
+
 // TestDeadlinesArePassedOn covers that no attempt gets more time than the caller
 // and the route leave.
 func TestDeadlinesArePassedOn(t *testing.T) {
--- a/core/scatter.go
+++ b/core/scatter.go
@@ -39,7 +39,7 @@
 		return answer
 	}
 	s := &scatter{router: r, route: route, request: request, deadline: deadline, answered: NewSet[string]()}
-	work, release := r.workContext(ctx)
+	work, release := r.workContext(ctx, deadline)
 	defer release()
 	waiting, cancel := r.Clock.WithDeadline(work, deadline)
 	defer cancel()
