--- a/cli/entry.go
+++ b/cli/entry.go
@@ -27,6 +27,8 @@
 	// callerIdleTimeout closes connections of callers that send nothing. It is
 	// longer than callers of any deployment keep a connection that they use again.
 	callerIdleTimeout = 2 * time.Minute
+	// maxCallerHeadBytes is more than the head of a request that an upstream would read.
+	maxCallerHeadBytes = 64 << 10
 	// handOverTimeout bounds the hand-over of the tickets.
 	handOverTimeout = 2 * time.Second
 )
@@ -120,10 +122,12 @@
 		instance: i,
 		log:      log,
 		metrics:  metrics,
-		callers:  &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout},
-		ready:    ready,
-		admin:    &http.Server{Handler: admin.Handler(), ReadHeaderTimeout: readHeaderTimeout},
-		peers:    peer.NewServer(i.clock, i, i.counters, log),
+		callers: &http.Server{
+			Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeadBytes,
+		},
+		ready: ready,
+		admin: &http.Server{Handler: admin.Handler(), ReadHeaderTimeout: readHeaderTimeout},
+		peers: peer.NewServer(i.clock, i, i.counters, log),
 	}, nil
 }
 
--- a/io/configservice/client.go
+++ b/io/configservice/client.go
@@ -39,6 +39,8 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     30 * time.Second,
+
+		MaxResponseHeaderBytes: core.MaxReplyHeadBytes,
 	}}}
 }
 
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -21,6 +21,14 @@
 // maxMessageBytes holds two published values and the facts of one exchange.
 const maxMessageBytes = 4 * core.MaxPublishedBytes
 
+const (
+	// windowBytes is how much of its messages a peer may send ahead. A fixed window spares
+	// the pings that a growing one is measured by.
+	windowBytes = 256 << 10
+	// bufferBytes holds a usual message.
+	bufferBytes = 4 << 10
+)
+
 // Client implements core.PeerClient and core.OrderPeers.
 type Client struct {
 	clock    core.Clock
@@ -49,6 +57,11 @@
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 			return c.dialer.DialContext(ctx, "tcp", address)
 		}),
+		grpc.WithMaxHeaderListSize(core.MaxReplyHeadBytes),
+		grpc.WithInitialWindowSize(windowBytes),
+		grpc.WithInitialConnWindowSize(windowBytes),
+		grpc.WithReadBufferSize(bufferBytes),
+		grpc.WithWriteBufferSize(bufferBytes),
 		grpc.WithStatsHandler(byteCounter{counters: c.counters}),
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff: backoff.Config{
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -10,6 +10,8 @@
 
 	"github.com/go-logr/logr"
 	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"acaciavane/core"
 	"acaciavane/io/peer/peerpb"
@@ -27,9 +29,14 @@
 	// delegated is the last delegated request, and delegatedAnswer its answer.
 	delegated       core.DelegatedRequest
 	delegatedAnswer core.DelegatedAnswer
+	// panics makes exchanges fail unexpectedly.
+	panics bool
 }
 
 func (f *fakeHandler) Receive(message core.Exchange) core.Exchange {
+	if f.panics {
+		panic("unexpected")
+	}
 	f.received = message
 	return f.reply
 }
@@ -134,6 +141,15 @@
 			So(err, ShouldNotBeNil)
 			So(errors.Is(err, core.ErrPeerUnreachable), ShouldBeFalse)
 		})
+		Convey("an unexpected error ends one call and not the process", func() {
+			f.handler.panics = true
+			_, err := f.client.Exchange(ctx, f.address, exchange)
+			So(status.Code(err), ShouldEqual, codes.Internal)
+			So(f.counters.Get(core.CountPeerGarbage), ShouldEqual, 1)
+			f.handler.panics = false
+			_, err = f.client.Exchange(ctx, f.address, exchange)
+			So(status.Code(err), ShouldNotEqual, codes.Internal)
+		})
 		Convey("garbage on the port is closed and counted", func() {
 			for _, text := range []string{"GET / HTTP/1.1\r\n\r\n", "\x00\x01\x02", "PRI * HTTP/1.0\r\n\r\n"} {
 				connection, err := net.Dial("tcp", f.address)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
+	"runtime/debug"
 
 	"github.com/go-logr/logr"
 	"google.golang.org/grpc"
@@ -40,7 +42,13 @@
 	s := &Server{clock: clock, handler: handler, counters: counters, log: log}
 	s.grpc = grpc.NewServer(
 		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxHeaderListSize(core.MaxReplyHeadBytes),
+		grpc.InitialWindowSize(windowBytes),
+		grpc.InitialConnWindowSize(windowBytes),
+		grpc.ReadBufferSize(bufferBytes),
+		grpc.WriteBufferSize(bufferBytes),
 		grpc.StatsHandler(byteCounter{counters: counters}),
+		grpc.UnaryInterceptor(s.recoverCall),
 	)
 	peerpb.RegisterPeerServer(s.grpc, s)
 	return s
@@ -109,6 +117,19 @@
 	return &peerpb.TakeOverReply{}, nil
 }
 
+// recoverCall keeps an unexpected error in one call from ending the process. The caller
+// does not learn what the call did before.
+func (s *Server) recoverCall(ctx context.Context, request any, info *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (reply any, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.counters.Add(core.CountPeerGarbage, 1)
+			s.log.Error(fmt.Errorf("%v", cause), "call of a peer failed unexpectedly", "call", info.FullMethod, "stack", string(debug.Stack()))
+			reply, err = nil, status.Error(codes.Internal, "unexpected error")
+		}
+	}()
+	return handle(ctx, request)
+}
+
 func (s *Server) malformed(err error) error {
 	s.counters.Add(core.CountPeerGarbage, 1)
 	s.log.Error(err, "message of a peer refused")
