Wake idle instances less often

Cause: an instance that is asked once in seconds woke some 110 times a second: the clock's check each 50 ms, the scan for suspects each 100 ms, two checks whether to read the store each 100 ms, the roster each 250 ms, and an exchange a second with each of three delegates.

Now the clock is checked each 250 ms while there are no requests, suspects are looked for once something fails or is late, the store's checks wait until the news can be too old or the delegates are lost, and only the first delegate is asked each second.

--- a/cli/routes.go
+++ b/cli/routes.go
@@ -13,8 +13,10 @@
 
 // Timing of an instance on the users' platform.
 const (
-	// rosterTick is how often upstreams that are missing from the list are checked.
-	rosterTick = 250 * core.Millis(1)
+	// rosterTick is how often upstreams that are missing from the list are checked, and
+	// rosterCalmTick how often the number of instances is while none is missing.
+	rosterTick     = 250 * core.Millis(1)
+	rosterCalmTick = core.Second
 	// routesExchangeInterval is the pause between two exchanges with one peer:
 	// peers only help out where the store turns an instance away.
 	routesExchangeInterval = 2 * core.Second
@@ -160,15 +162,21 @@
 
 // run drops upstreams whose grace is over and follows the number of instances.
 func (r *routes) run(ctx context.Context) error {
-	for r.instance.clock.Sleep(ctx, rosterTick) == nil {
+	pause := rosterTick
+	for r.instance.clock.Sleep(ctx, pause) == nil {
 		size := r.instance.sharers()
 		expired := r.roster.Expire()
 		r.mu.Lock()
-		if expired || size != r.size {
+		changed := size != r.size
+		if expired || changed {
 			r.size = size
 			r.refresh()
 		}
 		r.mu.Unlock()
+		pause = rosterCalmTick
+		if changed || r.roster.Missing() {
+			pause = rosterTick
+		}
 	}
 	return nil
 }
--- a/core/constants.go
+++ b/core/constants.go
@@ -49,7 +49,8 @@
 	ProbeReturnMillis = 250 * Millis(1)
 	// ProbeBackoffMaxMillis is the longest pause between two probes of a suspect.
 	ProbeBackoffMaxMillis = 1500 * Millis(1)
-	// SuspectScanMillis is the interval at which suspects are looked for.
+	// SuspectScanMillis is the interval at which suspects are looked for while there are any
+	// or attempts are late.
 	SuspectScanMillis = 100 * Millis(1)
 	// UnreachableAfterProbes is how many failed probes in a row make an upstream
 	// unreachable without any failed request.
@@ -75,6 +76,11 @@
 	PauseThresholdMillis = 1 * Second
 	// PauseTickMillis is the interval at which the clock is checked for gaps.
 	PauseTickMillis = 50 * Millis(1)
+	// PauseIdleTickMillis is the same for a process without requests. It is short against
+	// PauseThresholdMillis.
+	PauseIdleTickMillis = 250 * Millis(1)
+	// PauseIdleAfterMillis is how long after its last request a process counts as idle.
+	PauseIdleAfterMillis = 1 * Second
 	// RenewTimeoutMillis bounds the renewal of the view after a suspension.
 	RenewTimeoutMillis = 700 * Millis(1)
 	// NotifyTimeoutMillis bounds the wait for peers to take a verdict on a request.
@@ -238,9 +244,12 @@
 	LeastDelegates = 2
 	// MaxDelegates is how many instances one delegates to.
 	MaxDelegates = 3
-	// DelegateExchangeMillis is the pause between two exchanges with a delegate. It
+	// DelegateExchangeMillis is the pause between two exchanges with the first delegate. It
 	// bounds how long one that fell silent gets requests.
 	DelegateExchangeMillis = 1 * Second
+	// SpareExchangeMillis is the pause between two exchanges with the other delegates, which
+	// get requests only where the first one fails.
+	SpareExchangeMillis = 3 * Second
 	// JoinExchangeMillis is the pause between two exchanges with one peer while an
 	// instance joins the others.
 	JoinExchangeMillis = 250 * Millis(1)
--- a/core/delegation.go
+++ b/core/delegation.go
@@ -18,6 +18,16 @@
 	endedAt Millis
 }
 
+// SubscribeDelegation returns a channel that signals when this instance begins to delegate
+// requests, or to send them to upstreams itself.
+func (p *Peers) SubscribeDelegation() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	changed := make(chan struct{}, 1)
+	p.delegationChanges = append(p.delegationChanges, changed)
+	return changed
+}
+
 // Delegates returns the instances that requests are delegated to, in the order in which
 // they are tried. There are none where this instance sends them to upstreams itself.
 func (p *Peers) Delegates() []PeerInfo {
@@ -135,6 +145,12 @@
 		p.delegation.endedAt = now
 	}
 	if (len(before.to) == 0) != (len(p.delegation.to) == 0) {
+		for _, changed := range p.delegationChanges {
+			select {
+			case changed <- struct{}{}:
+			default:
+			}
+		}
 		p.Log.Info("delegation changed", "delegates", instanceNames(p.delegation.to), "senders", p.delegation.senders)
 	}
 	return p.delegation
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -25,6 +25,9 @@
 	// onChange is told of upstreams that go in and out of use, unless it is nil.
 	onChange func(UpstreamChange)
 
+	// alerts signals that an upstream may have become unreachable.
+	alerts chan struct{}
+
 	mu       sync.Mutex
 	services map[string]*service
 	replicas map[string]*replica
@@ -69,6 +72,7 @@
 		services: map[string]*service{},
 		replicas: map[string]*replica{},
 		zones:    map[string]*zoneView{},
+		alerts:   make(chan struct{}, 1),
 	}
 }
 
@@ -146,6 +150,7 @@
 		return
 	}
 	r.probeFailures++
+	f.alert()
 	f.changed(r, "probe")
 	if s, ok := f.services[r.service]; ok {
 		f.grant(s)
@@ -343,6 +348,35 @@
 	return ok && len(f.eligible(s, Want{Collection: collection, Snapshot: snapshot})) > 0
 }
 
+// Alerts returns a channel that signals when an upstream may have become unreachable.
+func (f *Fleet) Alerts() <-chan struct{} {
+	return f.alerts
+}
+
+func (f *Fleet) alert() {
+	select {
+	case f.alerts <- struct{}{}:
+	default:
+	}
+}
+
+// Uncertain reports whether there are upstreams, or zones, that may be unreachable.
+func (f *Fleet) Uncertain() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, zone := range f.zones {
+		if zone.late > 0 {
+			return true
+		}
+	}
+	for _, r := range f.replicas {
+		if r.suspect() {
+			return true
+		}
+	}
+	return false
+}
+
 // Suspects returns the upstreams that fell silent or broke a connection and were
 // not heard since.
 func (f *Fleet) Suspects() []Target {
@@ -350,7 +384,7 @@
 	defer f.mu.Unlock()
 	var suspects []Target
 	for _, r := range f.replicas {
-		if r.phase == PhaseLive && (r.down || r.broken || r.probeFailures > 0) {
+		if r.suspect() {
 			suspects = append(suspects, r.target())
 		}
 	}
--- a/core/pause.go
+++ b/core/pause.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 )
 
 // PauseGuard notices that the process was suspended, by a gap on its clock, and
@@ -15,15 +14,22 @@
 	// late is told how late each tick was, unless it is nil.
 	late func(Millis)
 
+	// wake ends the pause between two checks of an idle process.
+	wake chan struct{}
+
 	mu       sync.Mutex
 	lastTick Millis
 	renewal  chan struct{}
+	// workedAt is when there was last work, and idle is set while the clock is checked
+	// less often for want of it.
+	workedAt Millis
+	idle     bool
 }
 
 // NewPauseGuard returns a guard that calls renew after each suspension. Work is
 // held back until renew returns, for RenewTimeoutMillis at the most.
 func NewPauseGuard(clock Clock, counters *Counters, renew func(ctx context.Context)) *PauseGuard {
-	return &PauseGuard{clock: clock, renew: renew, counters: counters, lastTick: clock.Now()}
+	return &PauseGuard{clock: clock, renew: renew, counters: counters, lastTick: clock.Now(), wake: make(chan struct{}, 1)}
 }
 
 // OnTick registers a function that is told how late each tick was. It must be
@@ -32,23 +38,46 @@
 	g.late = late
 }
 
-// Run checks the clock until ctx ends.
+// Run checks the clock until ctx ends, less often while there is no work.
 func (g *PauseGuard) Run(ctx context.Context) error {
-	ticker := time.NewTicker(PauseTickMillis.Duration())
-	defer ticker.Stop()
-	last := g.clock.Now()
 	for {
 		g.tick(ctx, true)
+		last, interval := g.clock.Now(), g.interval()
 		select {
-		case <-ticker.C:
+		case <-g.clock.After(interval):
+			if g.late != nil {
+				g.late(g.clock.Now() - last - interval)
+			}
+		case <-g.wake:
 		case <-ctx.Done():
 			return nil
 		}
-		now := g.clock.Now()
-		if g.late != nil {
-			g.late(now - last - PauseTickMillis)
-		}
-		last = now
+	}
+}
+
+// interval returns the time until the next check.
+func (g *PauseGuard) interval() Millis {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.idle = g.clock.Now()-g.workedAt > PauseIdleAfterMillis
+	if g.idle {
+		return PauseIdleTickMillis
+	}
+	return PauseTickMillis
+}
+
+// work takes in that there is work.
+func (g *PauseGuard) work() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.workedAt = g.clock.Now()
+	if !g.idle {
+		return
+	}
+	g.idle = false
+	select {
+	case g.wake <- struct{}{}:
+	default:
 	}
 }
 
@@ -83,6 +112,7 @@
 // Await returns once the view is current. It is called at the moment of sending.
 func (g *PauseGuard) Await(ctx context.Context) error {
 	renewal := g.tick(ctx, false)
+	g.work()
 	if renewal == nil {
 		return nil
 	}
--- a/core/peers.go
+++ b/core/peers.go
@@ -63,7 +63,9 @@
 	// fetchingList is the same for an instance list.
 	fetchingList Millis
 	delegation   delegation
-	startedAt    Millis
+	// delegationChanges are the channels of those who wait for changes of it.
+	delegationChanges []chan struct{}
+	startedAt         Millis
 	// questions lets requests share the exchange that finds out whether a peer responds.
 	questions singleflight.Group
 	// relink signals that an instance was heard of for the first time.
@@ -250,7 +252,7 @@
 func (p *Peers) serve(ctx context.Context, address string, kick <-chan struct{}) {
 	for ctx.Err() == nil {
 		err := p.exchange(ctx, address)
-		pause := p.pause()
+		pause := p.pause(address)
 		if err != nil {
 			pause = p.backoff(address)
 		}
@@ -262,13 +264,16 @@
 	}
 }
 
-// pause returns the time between two exchanges with one peer.
-func (p *Peers) pause() Millis {
+// pause returns the time between two exchanges with the peer.
+func (p *Peers) pause(address string) Millis {
+	delegates := p.Delegates()
 	switch {
 	case p.Joining():
 		return JoinExchangeMillis
-	case len(p.Delegates()) > 0:
+	case len(delegates) > 0 && delegates[0].Address == address:
 		return DelegateExchangeMillis
+	case len(delegates) > 0:
+		return jitter(SpareExchangeMillis)
 	}
 	return max(p.ExchangeInterval, Millis(p.Senders())*p.ExchangePerInstance)
 }
--- a/core/permit.go
+++ b/core/permit.go
@@ -68,6 +68,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !p.released && p.replica.silent(p.since) {
+		f.alert()
 		f.changed(p.replica, "no reply")
 	}
 }
@@ -98,6 +99,9 @@
 	default:
 		p.replica.fail(now)
 	}
+	if p.replica.suspect() {
+		f.alert()
+	}
 	f.changed(p.replica, string(failure.Kind))
 	f.mu.Unlock()
 	if status, ok := failure.Status.Get(); ok {
--- a/core/prober.go
+++ b/core/prober.go
@@ -64,50 +64,82 @@
 // RunSuspects probes only the upstreams that are suspected to be unreachable,
 // until ctx ends.
 func (p *Prober) RunSuspects(ctx context.Context) error {
-	var group errgroup.Group
-	probing := map[string]bool{}
-	pauses := map[string]Millis{}
-	done := make(chan string)
-	ticker := time.NewTicker(SuspectScanMillis.Duration())
-	defer ticker.Stop()
-	scanned := p.clock.Now()
+	scan := &suspectScan{prober: p, probing: NewSet[string](), pauses: map[string]Millis{}, done: make(chan string)}
 	for {
-		suspects := p.fleet.Suspects()
-		maps.DeleteFunc(pauses, func(name string, _ Millis) bool {
-			return !slices.ContainsFunc(suspects, func(t Target) bool { return t.Name == name })
-		})
-		for _, target := range suspects {
-			if probing[target.Name] || target.Lanes < 1 {
-				continue
-			}
-			probing[target.Name] = true
-			pause := max(ProbeReturnMillis, pauses[target.Name])
-			pauses[target.Name] = min(2*pause, ProbeBackoffMaxMillis)
-			group.Go(func() error {
-				p.probe(ctx, target)
-				_ = p.clock.Sleep(ctx, jitter(pause))
-				select {
-				case done <- target.Name:
-				case <-ctx.Done():
-				}
-				return nil
-			})
-		}
+		scan.probe(ctx)
+		timer, alerts := scan.next()
 		select {
-		case name := <-done:
-			delete(probing, name)
-		case <-ticker.C:
-			// A process that is behind has not read the replies that are there.
-			if p.clock.Since(scanned)-SuspectScanMillis < TimerSlackMillis {
-				p.fleet.CheckZones()
-			}
-			scanned = p.clock.Now()
+		case name := <-scan.done:
+			delete(scan.probing, name)
+		case <-alerts:
+		case <-timer:
+			scan.checkZones()
 		case <-ctx.Done():
-			return group.Wait()
+			return scan.group.Wait()
 		}
 	}
 }
 
+// suspectScan looks for suspects, from time to time while anything is uncertain.
+type suspectScan struct {
+	prober *Prober
+	group  errgroup.Group
+	// probing names the suspects that have a task, and pauses is how long each one rests
+	// after its next probe.
+	probing Set[string]
+	pauses  map[string]Millis
+	done    chan string
+	// timer signals the next scan, which is due at the given time.
+	timer <-chan time.Time
+	due   Millis
+}
+
+// next returns what the next scan waits for.
+func (s *suspectScan) next() (timer <-chan time.Time, alerts <-chan struct{}) {
+	if s.timer == nil && s.prober.fleet.Uncertain() {
+		s.timer = s.prober.clock.After(SuspectScanMillis)
+		s.due = s.prober.clock.Now() + SuspectScanMillis
+	}
+	if s.timer != nil {
+		return s.timer, nil
+	}
+	return nil, s.prober.fleet.Alerts()
+}
+
+// checkZones looks for zones that are cut off, unless the process is behind: it has then
+// not read the replies that are there.
+func (s *suspectScan) checkZones() {
+	s.timer = nil
+	if s.prober.clock.Since(s.due) < TimerSlackMillis {
+		s.prober.fleet.CheckZones()
+	}
+}
+
+// probe starts a task for each suspect that has none.
+func (s *suspectScan) probe(ctx context.Context) {
+	suspects := s.prober.fleet.Suspects()
+	maps.DeleteFunc(s.pauses, func(name string, _ Millis) bool {
+		return !slices.ContainsFunc(suspects, func(t Target) bool { return t.Name == name })
+	})
+	for _, target := range suspects {
+		if s.probing.Has(target.Name) || target.Lanes < 1 {
+			continue
+		}
+		s.probing.Add(target.Name)
+		pause := max(ProbeReturnMillis, s.pauses[target.Name])
+		s.pauses[target.Name] = min(2*pause, ProbeBackoffMaxMillis)
+		s.group.Go(func() error {
+			s.prober.probe(ctx, target)
+			_ = s.prober.clock.Sleep(ctx, jitter(pause))
+			select {
+			case s.done <- target.Name:
+			case <-ctx.Done():
+			}
+			return nil
+		})
+	}
+}
+
 // Retain closes the connections to upstreams that the fleet does not name.
 func (p *Prober) Retain() {
 	names := NewSet[string]()
--- a/core/publications.go
+++ b/core/publications.go
@@ -16,6 +16,9 @@
 	KeyInstances     = "instances"
 )
 
+// restMillis is the longest pause between two checks whether to read the platform.
+const restMillis = 1 * Second
+
 // ErrPlatformUnavailable means that the platform gave no usable answer.
 var ErrPlatformUnavailable = errors.New("platform unavailable")
 
@@ -107,9 +110,10 @@
 	var revision uint64
 	pause := p.Cadence.RetryMin
 	var lost Option[Millis]
+	changes := p.Peers.SubscribeDelegation()
 	for ctx.Err() == nil {
 		if !p.due(key) {
-			_ = p.Clock.Sleep(ctx, jitter(p.Cadence.RetryMin))
+			p.rest(ctx, key, changes)
 			continue
 		}
 		wait := p.wait()
@@ -162,6 +166,20 @@
 	return p.Store.PlatformAge() > p.Cadence.Silence
 }
 
+// rest waits until this instance may have to read the platform itself: the news that others
+// have of it grow old, or there are none to rely on any more.
+func (p *Publications) rest(ctx context.Context, key string, changes <-chan struct{}) {
+	pause := p.Cadence.RetryMin
+	if p.tried(key) && !p.Peers.Joining() {
+		pause = min(restMillis, max(pause, p.Cadence.Silence-p.Store.PlatformAge()))
+	}
+	select {
+	case <-changes:
+	case <-p.Clock.After(jitter(pause)):
+	case <-ctx.Done():
+	}
+}
+
 // wait returns how long a watch waits: less where other instances rely on it.
 func (p *Publications) wait() Millis {
 	if p.Peers.ReadForOthers() {
--- a/core/replica.go
+++ b/core/replica.go
@@ -133,6 +133,12 @@
 	return r.probeFailures >= UnreachableAfterProbes
 }
 
+// suspect reports whether the upstream fell silent or broke a connection and was not
+// heard since.
+func (r *replica) suspect() bool {
+	return r.phase == PhaseLive && (r.down || r.broken || r.probeFailures > 0)
+}
+
 func (r *replica) serves(collection string, snapshot uint64) bool {
 	return r.snapshots[collection].Has(snapshot)
 }
--- a/core/roster.go
+++ b/core/roster.go
@@ -73,6 +73,18 @@
 	return expired
 }
 
+// Missing reports whether the grace of an upstream has begun and is not over.
+func (r *Roster) Missing() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, entry := range r.entries {
+		if _, gone := entry.missingSince.Get(); gone {
+			return true
+		}
+	}
+	return false
+}
+
 // Services returns the services of a configuration with the upstreams of the
 // roster added to them.
 func (r *Roster) Services(configuration Configuration) []Service {
--- a/core/zone.go
+++ b/core/zone.go
@@ -35,6 +35,7 @@
 	}
 	if zone.late == 0 {
 		zone.lateSince = since
+		f.alert()
 	}
 	zone.late++
 }
@@ -53,6 +54,7 @@
 		zone.late = 0
 		for _, r := range f.replicas {
 			if r.upstream.Zone == name && r.silent(now) {
+				f.alert()
 				f.changed(r, "zone silent")
 			}
 		}
