Have starting instances find the others before they send requests themselves

Cause: after all had lost power, each of 61 instances sent its requests itself for 2.7 s and more. The seeds listened 0.4 s after the first instances had started; the exchange that had failed was tried again after the pause of a fleet at rest, 2 s.

Now an instance that has heard of no other tries again each 100 ms, and one that starts waits up to 1.2 s for word of instances that it can delegate to, 0.5 s after it has heard the first, not at all where one that knows the others has answered or it is strong itself. Requests are refused meanwhile, at once and with the time when this will be over.

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -103,14 +103,17 @@
 	perInstance core.Millis
 	// delegate lets instances delegate requests to others.
 	delegate bool
-	// join is how long a starting instance waits to hear of them.
-	join core.Millis
+	// join is how long a starting instance waits to hear of them, and joinGossip how long
+	// after it has heard the first.
+	join       core.Millis
+	joinGossip core.Millis
 }
 
 // chooseSources returns the sources for the instance's interface.
 func (i *instance) chooseSources(dialer *net.Dialer, upstreams *upstream.Client) sources {
 	if i.settings.Interface == operator.InterfaceRoutes {
 		i.routes = newRoutes(i, upstreams)
+		join, joinGossip := joinTime(i.settings)
 		return sources{
 			platform:         platform.NewFeed(i.settings.PlatformAddress, dialer),
 			decoder:          platform.NewDecoder(),
@@ -120,7 +123,8 @@
 			exchangeInterval: routesExchangeInterval,
 			perInstance:      routesExchangePerInstance,
 			delegate:         true,
-			join:             joinTime(i.settings),
+			join:             join,
+			joinGossip:       joinGossip,
 		}
 	}
 	return sources{
@@ -161,6 +165,7 @@
 		ExchangePerInstance: sources.perInstance,
 		Delegate:            sources.delegate,
 		Join:                sources.join,
+		JoinGossip:          sources.joinGossip,
 	})
 	i.publications = core.NewPublications(core.PublicationsParts{
 		Clock:    i.clock,
--- a/cli/routes.go
+++ b/cli/routes.go
@@ -45,17 +45,25 @@
 	readRetryMax = 500 * core.Millis(1)
 )
 
-// firstJoin is how long an instance waits to hear of others at the first start of all
-// instances: they know nothing of each other, and callers come later.
-const firstJoin = 2 * core.Second
+const (
+	// firstJoin is how long an instance waits to hear of others at the first start of all
+	// instances: they know nothing of each other, and callers come later.
+	firstJoin = 2 * core.Second
+	// rejoin is the same for one that starts again. It is longer than all take to listen that
+	// were killed at one moment.
+	rejoin = 1200 * core.Millis(1)
+	// joinGossip is how long one that starts again waits after it has heard the first of the
+	// others: the time of two exchanges.
+	joinGossip = 2 * core.JoinExchangeMillis
+)
 
-// joinTime returns how long a starting instance waits to hear of others. One that is
-// started again does not: callers wait.
-func joinTime(settings operator.Settings) core.Millis {
+// joinTime returns how long a starting instance waits to hear of others, at most, and how
+// long after it has heard the first.
+func joinTime(settings operator.Settings) (join, gossip core.Millis) {
 	if settings.FirstStart {
-		return firstJoin
+		return firstJoin, firstJoin
 	}
-	return 0
+	return rejoin, joinGossip
 }
 
 // routesCadence reads the store often enough to notice within a configuration's
--- a/core/constants.go
+++ b/core/constants.go
@@ -253,6 +253,11 @@
 	// JoinExchangeMillis is the pause between two exchanges with one peer while an
 	// instance joins the others.
 	JoinExchangeMillis = 250 * Millis(1)
+	// JoinRetryMillis is the pause after a failed exchange while an instance that has just
+	// started has heard of no other yet, and JoinSearchMillis is how long that goes on. All
+	// may be starting.
+	JoinRetryMillis  = 100 * Millis(1)
+	JoinSearchMillis = 10 * Second
 	// delegationMillis is how long the choice of delegates stands, unless one fails.
 	delegationMillis = 200 * Millis(1)
 	// DelegateHopMillis is kept back for the way of a delegated request and its answer
--- a/core/delegate.go
+++ b/core/delegate.go
@@ -29,8 +29,9 @@
 	// Responds reports whether an instance was heard after the given time, or answers now
 	// that it is asked. It takes ExchangeTimeoutMillis at most.
 	Responds(ctx context.Context, address string, at Millis) bool
-	// Settling reports whether what is known of upstreams is too old to send them requests.
-	Settling() bool
+	// Settling returns when enough will be known of upstreams to send them requests, unless
+	// it is.
+	Settling() Option[Millis]
 }
 
 // routing is one routed request on its way.
--- a/core/delegate_test.go
+++ b/core/delegate_test.go
@@ -39,7 +39,12 @@
 func (f *fakeDelegates) HeardSince(string, Millis) bool         { return f.heard }
 func (f *fakeDelegates) Relievers() []PeerInfo                  { return f.relievers }
 func (f *fakeDelegates) Busy(address string)                    { f.busy = append(f.busy, address) }
-func (f *fakeDelegates) Settling() bool                         { return f.settling }
+func (f *fakeDelegates) Settling() Option[Millis] {
+	if f.settling {
+		return Some(Millis(time.Now().UnixMilli()) + 300)
+	}
+	return None[Millis]()
+}
 
 func (f *fakeDelegates) Delegate(ctx context.Context, address string, request DelegatedRequest) (DelegatedAnswer, error) {
 	f.asked = append(f.asked, address)
@@ -229,8 +234,8 @@
 	inBubble(t, func(t *testing.T) {
 		f := newRouterFixture(3, 2, scatteredRoute(3, 0.9))
 		f.choice.settling = true
-		if answer := f.ask(context.Background()); answer.Outcome != OutcomeNotRun || len(f.sentTo()) > 0 || f.since() > 0 {
-			t.Errorf("%s, sent to %v", answer.Outcome, f.sentTo())
+		if answer := f.ask(context.Background()); answer.Outcome != OutcomeNotRun || len(f.sentTo()) > 0 || f.since() > 0 || answer.RetryAfter != 300 {
+			t.Errorf("%s, sent to %v, to come back after %d ms", answer.Outcome, f.sentTo(), answer.RetryAfter)
 		}
 		f.choice.settling = false
 		if answer := f.ask(context.Background()); answer.Outcome != OutcomeAnswered {
--- a/core/delegation.go
+++ b/core/delegation.go
@@ -39,7 +39,23 @@
 // Joining reports whether the instance has just started and may yet hear of others that
 // it can delegate requests to.
 func (p *Peers) Joining() bool {
-	return p.Clock.Since(p.startedAt) < p.Join && len(p.Delegates()) == 0
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.joining()
+}
+
+// joining is Joining for a caller that holds the lock. The wait ends early where the
+// instance was told of the others by one that knows them, is strong itself, or has heard
+// others for a while.
+func (p *Peers) joining() bool {
+	switch {
+	case p.introduced, len(p.peers) == 0, p.Clock.Since(p.startedAt) >= p.Join, len(p.currentDelegation().to) > 0:
+		return false
+	case p.metAt != 0 && p.Clock.Since(p.metAt) >= p.JoinGossip:
+		return false
+	}
+	weaker := p.known(func(peer *peerState) bool { return AggregatorStrength*peer.info.Capacity <= p.Self.Capacity })
+	return len(weaker) == 0
 }
 
 // Senders returns how many instances send requests to upstreams, as far as is known.
@@ -55,14 +71,25 @@
 	return p.Delegate && p.Senders() < p.Size()
 }
 
-// Settling reports whether this instance has just begun to send requests to upstreams
-// itself and has not read the platform since. What it knows of upstreams is old then.
-func (p *Peers) Settling() bool {
+// Settling returns when this instance is expected to know enough to send requests to
+// upstreams itself, unless it does: it may have just started, or begun to send requests
+// itself without having read the platform since.
+func (p *Peers) Settling() Option[Millis] {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.joining() {
+		until := p.startedAt + p.Join
+		if p.metAt != 0 {
+			until = min(until, p.metAt+p.JoinGossip)
+		}
+		return Some(until + RetryLaterMillis)
+	}
 	ended := p.currentDelegation().endedAt
 	since := p.Clock.Since(ended)
-	return ended != 0 && since < SettleMillis && p.Store.ListReadAge() > since
+	if ended != 0 && since < SettleMillis && p.Store.ListReadAge() > since {
+		return Some(p.Clock.Now() + RetryLaterMillis)
+	}
+	return None[Millis]()
 }
 
 // DelegateFailed takes in that an instance did not take a delegated request. It gets no
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -41,6 +41,8 @@
 	WantsList    bool
 	// PlatformAge is how long ago the sender last had news of the platform.
 	PlatformAge Millis
+	// Joining is set while the sender may not know of all that it could delegate to.
+	Joining bool
 	// Known are some of the other instances that the sender has heard of lately.
 	Known []KnownPeer
 	// Facts are new to the receiver; Sequence is the sender's last one.
@@ -61,6 +63,10 @@
 	limited, cancel := p.Clock.WithDeadline(ctx, p.Clock.Now()+ExchangeTimeoutMillis)
 	defer cancel()
 	p.Counters.Add(CountPeerExchanges, 1)
+	if p.searching() && p.failing(address) {
+		// Instances that start together find each other as soon as they listen.
+		p.Client.Reachable(address)
+	}
 	reply, err := p.Client.Exchange(limited, address, message)
 	if err != nil {
 		p.Counters.Add(CountPeerFailures, 1)
@@ -150,6 +156,7 @@
 	message := Exchange{
 		From:            self,
 		PlatformAge:     p.Store.PlatformAge(),
+		Joining:         p.joining(),
 		Known:           p.sample(peer),
 		SeenIncarnation: peer.info.Incarnation,
 		SeenSequence:    peer.seen,
@@ -291,6 +298,10 @@
 		peer.update(message, p.Self.Incarnation, p.Clock.Now())
 	}
 	p.learn(message.Known)
+	p.introduced = p.introduced || !message.Joining
+	if p.metAt == 0 {
+		p.metAt = p.Clock.Now()
+	}
 	p.mu.Unlock()
 	p.Store.HeardPlatform(message.PlatformAge)
 	if len(message.Configuration) > 0 {
--- a/core/peers.go
+++ b/core/peers.go
@@ -40,8 +40,10 @@
 	// ExchangePerInstance times the number of instances is the least pause.
 	ExchangePerInstance Millis
 	// Join is how long after its start an instance waits for word of instances that it
-	// may delegate requests to.
+	// may delegate requests to, at most.
 	Join Millis
+	// JoinGossip is how long it waits for such word after it has heard the first instance.
+	JoinGossip Millis
 	// Delegate lets an instance delegate requests to others that send them to upstreams.
 	Delegate bool
 	// Apply takes in a fact that was new.
@@ -66,6 +68,10 @@
 	// delegationChanges are the channels of those who wait for changes of it.
 	delegationChanges []chan struct{}
 	startedAt         Millis
+	// introduced is set once an instance was heard that knows the others.
+	introduced bool
+	// metAt is when the first instance was heard, or zero.
+	metAt Millis
 	// questions lets requests share the exchange that finds out whether a peer responds.
 	questions singleflight.Group
 	// relink signals that an instance was heard of for the first time.
@@ -279,12 +285,23 @@
 }
 
 func (p *Peers) backoff(address string) Millis {
+	if p.searching() {
+		return JoinRetryMillis
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	failures := p.peers[address].failures()
 	return min(p.ExchangeInterval<<min(failures, 3), PeerRetryMaxMillis)
 }
 
+// searching reports whether no other instance has been heard since the start, which was not
+// long ago.
+func (p *Peers) searching() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.Join > 0 && p.metAt == 0 && p.Clock.Since(p.startedAt) < JoinSearchMillis
+}
+
 func (s *peerState) failures() int {
 	if s == nil {
 		return 0
--- a/core/publications_test.go
+++ b/core/publications_test.go
@@ -62,6 +62,7 @@
 		Self:  PeerInfo{Name: "self", Zone: "z", Address: "self", Incarnation: 1, Capacity: 192},
 		Clock: f.clock, Client: &fakePeers{asked: NewSet[string](), down: NewSet[string]()}, Store: store,
 		Facts: NewFactLog(f.clock), Counters: NewCounters(), Log: logr.Discard(), Delegate: true, Join: join,
+		JoinGossip: join, Seeds: []string{"seed"},
 	})
 	f.publications = NewPublications(PublicationsParts{
 		Clock: f.clock, Platform: f.platform, Store: store, Peers: f.peers, Counters: NewCounters(), Log: logr.Discard(),
@@ -166,6 +167,85 @@
 	})
 }
 
+// TestJoiningEnds covers an instance that starts again: what it hears of the others decides
+// how long it waits before it sends requests to upstreams itself. Hundreds that start
+// together and each send by themselves use up the connections that upstreams take.
+func TestJoiningEnds(t *testing.T) {
+	const join = 500 * Millis(1)
+	peer := func(name string, capacity int, joining bool, known ...KnownPeer) Exchange {
+		return Exchange{
+			From:    PeerInfo{Name: name, Zone: "z", Address: name, Incarnation: 1, Capacity: capacity},
+			Joining: joining, Known: known, ConfigurationVersion: 7, ConfigurationDigest: "d",
+		}
+	}
+	strong := KnownPeer{Info: PeerInfo{Name: "strong", Zone: "z", Address: "strong", Incarnation: 1, Capacity: 800}}
+	cases := []struct {
+		name      string
+		hears     []Exchange
+		joining   bool
+		delegates int
+	}{
+		{"nobody", nil, true, 0},
+		{"one that starts, too", []Exchange{peer("a", 192, true)}, true, 0},
+		{"one that starts, too, and has heard of a strong one", []Exchange{peer("a", 192, true, strong)}, false, 1},
+		{"one that knows the others, which are equal", []Exchange{peer("a", 192, false)}, false, 0},
+		{"one that is much weaker", []Exchange{peer("a", 90, true)}, false, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := startPublications(t, join)
+				for _, message := range tc.hears {
+					f.peers.Receive(message)
+				}
+				time.Sleep((delegationMillis + 100).Duration())
+				settled, settling := f.peers.Settling().Get()
+				if f.peers.Joining() != tc.joining || settling != tc.joining || len(f.peers.Delegates()) != tc.delegates {
+					t.Errorf("joining %t, settling %t, %d delegates", f.peers.Joining(), settling, len(f.peers.Delegates()))
+				}
+				if settling && settled-f.clock.Now() > join {
+					t.Errorf("settled in %d ms", settled-f.clock.Now())
+				}
+				time.Sleep(join.Duration())
+				if f.peers.Joining() {
+					t.Error("joining still")
+				}
+			})
+		})
+	}
+}
+
+// TestLateSeeds covers instances that start before those that they ask first: they find
+// them soon after these listen, not after the pauses of a fleet at rest.
+func TestLateSeeds(t *testing.T) {
+	const late = 2 * Second
+	synctest.Test(t, func(t *testing.T) {
+		clock := bubbleClock()
+		client := &fakePeers{asked: NewSet[string](), down: NewSet("seed")}
+		peers := NewPeers(PeersParts{
+			Self:  PeerInfo{Name: "self", Zone: "z", Address: "self", Incarnation: 1, Capacity: 192},
+			Clock: clock, Client: client, Store: NewStore(clock, textDecoder{}, NewCounters()), Facts: NewFactLog(clock),
+			Seeds: []string{"seed"}, ExchangeInterval: 2 * Second, Counters: NewCounters(), Log: logr.Discard(), Delegate: true,
+			Apply: func(Fact) {}, Join: 500, JoinGossip: 250,
+		})
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan error, 1)
+		go func() { done <- peers.Run(ctx) }()
+		time.Sleep(late.Duration())
+		client.mu.Lock()
+		client.down = NewSet[string]()
+		client.mu.Unlock()
+		time.Sleep(2 * JoinRetryMillis.Duration())
+		if got := len(peers.Alive()); got != 1 {
+			t.Errorf("%d instances heard %d ms after the first one listens", got, 2*JoinRetryMillis)
+		}
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
 // TestSettlingAfterDelegates covers an instance that loses the one it delegated to: what it
 // knows of upstreams counts as old until it has read the list.
 func TestSettlingAfterDelegates(t *testing.T) {
@@ -173,7 +253,7 @@
 		f := startPublications(t, 2*Second)
 		f.hearOf(0)
 		time.Sleep(time.Second)
-		if f.peers.Settling() || len(f.peers.Delegates()) != 1 {
+		if _, settling := f.peers.Settling().Get(); settling || len(f.peers.Delegates()) != 1 {
 			t.Error("settling while it delegates")
 		}
 		f.platform.mu.Lock()
@@ -181,7 +261,7 @@
 		f.platform.mu.Unlock()
 		f.peers.DelegateFailed("strong", ErrPeerUnreachable)
 		time.Sleep(500 * time.Millisecond)
-		if !f.peers.Settling() || len(f.peers.Delegates()) != 0 {
+		if _, settling := f.peers.Settling().Get(); !settling || len(f.peers.Delegates()) != 0 {
 			t.Error("not settling without the list")
 		}
 		f.platform.mu.Lock()
@@ -189,7 +269,7 @@
 		f.platform.mu.Unlock()
 		// The longest pause after a failed read, with its jitter, is 750 ms.
 		time.Sleep(800 * time.Millisecond)
-		if f.peers.Settling() {
+		if _, settling := f.peers.Settling().Get(); settling {
 			t.Error("settling after it has read the list")
 		}
 	})
--- a/core/router.go
+++ b/core/router.go
@@ -165,11 +165,12 @@
 	if answer, renewed, done := g.relieve(ctx); done {
 		return answer, renewed
 	}
+	settled, settling := r.Choice.Settling().Get()
 	switch {
 	case lag > OverloadRefuseFactor*objective:
 		return g.refuseBehind(lag), false
-	case r.Choice.Settling():
-		return refuseRouted(ReasonNotReady, RetrySoonMillis, "the list of upstreams is being read"), false
+	case settling:
+		return refuseRouted(ReasonNotReady, max(RetrySoonMillis, settled-r.Clock.Now()), "other instances and upstreams are being found"), false
 	case g.route.Scattered():
 		return r.scatter(ctx, g.route, g.request, g.deadline), false
 	}
