Gather shards of other zones in groups; do not wait to join where services are few

And the processor time of one instance for 180 to 270 shards makes price-lookup's median 93 ms of an objective of 100.

Now an instance in another zone is asked to gather the shards that have replicas there, and reports their signatures and greatest records: first when late shards are due, then as they come. The instance that answers keeps one attempt for each shard, and the allowance of repeats. A group that is refused or not delivered is asked directly; one that is silent is backed up 25 ms later, and its instance asked whether it is there.

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -356,6 +356,15 @@
 	return i.routes.router.AnswerDelegated(ctx, request)
 }
 
+// AnswerGroup implements peer.Handler. An instance that is leaving takes no more groups: the
+// one that asks has others.
+func (i *instance) AnswerGroup(ctx context.Context, request core.GroupRequest, report func(core.GroupReport) error) error {
+	if i.routes == nil || i.leaving.Load() {
+		return core.ErrGroupRefused
+	}
+	return i.routes.router.AnswerGroup(ctx, request, report)
+}
+
 // Mint implements peer.Handler.
 func (i *instance) Mint() core.Ticket {
 	return i.orders.Mint()
--- a/cli/routes.go
+++ b/cli/routes.go
@@ -51,7 +51,7 @@
 	firstJoin = 2 * core.Second
 	// rejoin is the same for one that starts again. It is longer than all take to listen that
 	// were killed at one moment.
-	rejoin = 1200 * core.Millis(1)
+	rejoin = 800 * core.Millis(1)
 	// joinGossip is how long one that starts again waits after it has heard the first of the
 	// others: the time of two exchanges.
 	joinGossip = 2 * core.JoinExchangeMillis
@@ -118,6 +118,7 @@
 		Store:          i.store,
 		Choice:         i.peers,
 		DelegateClient: i.peerClient,
+		GroupClient:    i.peerClient,
 		Quarantine:     i.quarantine,
 		Log:            i.log,
 	})
--- a/core/constants.go
+++ b/core/constants.go
@@ -253,6 +253,9 @@
 	// JoinExchangeMillis is the pause between two exchanges with one peer while an
 	// instance joins the others.
 	JoinExchangeMillis = 250 * Millis(1)
+	// JoinServices is with how many services at most an instance does not wait for word of
+	// others before it sends requests itself.
+	JoinServices = 64
 	// JoinRetryMillis is the pause after a failed exchange while an instance that has just
 	// started has heard of no other yet, and JoinSearchMillis is how long that goes on. All
 	// may be starting.
@@ -268,6 +271,18 @@
 	DelegateSilenceMillis = 100 * Millis(1)
 	// DelegateAskMillis is the pause until it is asked again while the request is under way.
 	DelegateAskMillis = 500 * Millis(1)
+	// GroupLeastShards is how many shards another zone must have for an instance there to
+	// gather them: with fewer, the bytes saved are worth less than the late shards cost.
+	GroupLeastShards = 16
+	// GroupLeastObjective is the shortest objective of a route whose shards are gathered in
+	// groups. Less leaves no time for one more instance on the way and for late shards.
+	GroupLeastObjective = 75 * Millis(1)
+	// GroupHopMillis is how long after the first report on a group is due its late shards are
+	// asked directly: the way there and back, and the work of one report.
+	GroupHopMillis = 5 * Millis(1)
+	// GroupPatienceMillis is the same for a group without any report: an instance that is
+	// busy for a moment has most of the parts.
+	GroupPatienceMillis = 25 * Millis(1)
 	// ReliefLagMillis is the lag from which an instance has others answer its requests.
 	ReliefLagMillis = 8.0
 	// ReliefMinMillis and ReliefMaxMillis are the first and the longest time for which
--- a/core/counters.go
+++ b/core/counters.go
@@ -19,6 +19,8 @@
 	CountRetries
 	CountDelegated
 	CountDelegatedHere
+	CountGroups
+	CountGroupsHere
 	CountRepeatsRefused
 	CountBadReplies
 	CountForeignReplies
@@ -60,6 +62,8 @@
 	CountRetries:                "retries",
 	CountDelegated:              "delegated",
 	CountDelegatedHere:          "delegatedHere",
+	CountGroups:                 "groups",
+	CountGroupsHere:             "groupsHere",
 	CountRepeatsRefused:         "repeatsRefusedByAllowance",
 	CountBadReplies:             "badReplies",
 	CountForeignReplies:         "foreignReplies",
--- a/core/delegate.go
+++ b/core/delegate.go
@@ -25,6 +25,9 @@
 	Relievers() []PeerInfo
 	// Busy takes in that an instance refused a request as it was behind.
 	Busy(address string)
+	// Gatherers returns, by availability zone other than this one, the instances that send
+	// requests to upstreams and have not refused one of late.
+	Gatherers() map[string][]PeerInfo
 	HeardSince(address string, at Millis) bool
 	// Responds reports whether an instance was heard after the given time, or answers now
 	// that it is asked. It takes ExchangeTimeoutMillis at most.
@@ -144,11 +147,7 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	r.Counters.Add(CountDelegatedHere, 1)
-	now := r.Clock.Now()
-	request := delegated.Request
-	request.Arrived = now - delegated.Elapsed - DelegateHopMillis
-	request.Deadline = now + delegated.Left
-	request.fingerprint = request.newFingerprint()
+	request := r.received(delegated)
 	if len(delegated.Configuration) > 0 {
 		if _, err := r.Store.OfferConfiguration(delegated.Configuration, "delegated request"); err != nil {
 			r.Log.Error(err, "configuration of a peer refused", "request", request.ID)
@@ -170,6 +169,16 @@
 	return DelegatedAnswer{Answer: answer}
 }
 
+// received returns the request of another instance by this one's clock.
+func (r *Router) received(delegated DelegatedRequest) RoutedRequest {
+	now := r.Clock.Now()
+	request := delegated.Request
+	request.Arrived = now - delegated.Elapsed - DelegateHopMillis
+	request.Deadline = now + delegated.Left
+	request.fingerprint = request.newFingerprint()
+	return request
+}
+
 // refuseConfiguration answers a request that is to be answered under another
 // configuration than the one in force.
 func (r *Router) refuseConfiguration(table *RouteTable, version uint64) DelegatedAnswer {
--- a/core/delegate_test.go
+++ b/core/delegate_test.go
@@ -27,8 +27,12 @@
 	responds  bool
 	questions int
 	silentAt  int
+	// gatherers are those that may gather shards, by zone.
+	gatherers map[string][]PeerInfo
 }
 
+func (f *fakeDelegates) Gatherers() map[string][]PeerInfo { return f.gatherers }
+
 func (f *fakeDelegates) Responds(context.Context, string, Millis) bool {
 	f.questions++
 	return f.heard || f.responds && (f.silentAt == 0 || f.questions < f.silentAt)
--- a/core/delegation.go
+++ b/core/delegation.go
@@ -11,6 +11,8 @@
 	to []PeerInfo
 	// senders is how many instances send requests to upstreams.
 	senders int
+	// gatherers are those of other zones that this one may have gather shards, by zone.
+	gatherers map[string][]PeerInfo
 	// until is when this is worked out anew.
 	until Millis
 	// endedAt is when this instance began to send requests to upstreams itself after it
@@ -46,18 +48,30 @@
 
 // joining is Joining for a caller that holds the lock. The wait ends early where the
 // instance was told of the others by one that knows them, is strong itself, or has heard
-// others for a while.
+// others for a while. In a small fleet it may send requests itself as soon as it has, and
+// where there are few services even before.
 func (p *Peers) joining() bool {
 	switch {
 	case p.introduced, len(p.peers) == 0, p.Clock.Since(p.startedAt) >= p.Join, len(p.currentDelegation().to) > 0:
 		return false
-	case p.metAt != 0 && p.Clock.Since(p.metAt) >= p.JoinGossip:
+	case p.fewServices():
+		return false
+	case p.metAt == 0:
+		return true
+	case len(p.known(nil)) <= MaxPeerLinks || p.Clock.Since(p.metAt) >= p.JoinGossip:
 		return false
 	}
 	weaker := p.known(func(peer *peerState) bool { return AggregatorStrength*peer.info.Capacity <= p.Self.Capacity })
 	return len(weaker) == 0
 }
 
+// fewServices reports whether connections to all upstreams are so few that it does no harm
+// if each instance opens them.
+func (p *Peers) fewServices() bool {
+	inForce, ok := p.Store.Current()
+	return ok && len(inForce.Configuration.Services) <= JoinServices
+}
+
 // Senders returns how many instances send requests to upstreams, as far as is known.
 func (p *Peers) Senders() int {
 	p.mu.Lock()
@@ -114,12 +128,27 @@
 	return senders
 }
 
+// Gatherers implements DelegateChoice.
+func (p *Peers) Gatherers() map[string][]PeerInfo {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.currentDelegation().gatherers
+}
+
+func (p *Peers) findGatherers(now Millis) map[string][]PeerInfo {
+	usable := p.known(func(peer *peerState) bool { return peer.failuresInRow == 0 && now >= peer.busyUntil })
+	zones := aggregatorsByZone(append([]PeerInfo{p.Self}, usable...))
+	delete(zones, p.Self.Zone)
+	return zones
+}
+
 // Busy implements DelegateChoice.
 func (p *Peers) Busy(address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if peer, ok := p.peers[address]; ok {
 		peer.busyUntil = p.Clock.Now() + BusyMillis
+		p.delegation.until = 0
 	}
 }
 
@@ -165,6 +194,10 @@
 	usable := p.known(func(peer *peerState) bool { return peer.failuresInRow == 0 })
 	p.delegation.to = delegatesFor(p.Self, usable)
 	p.delegation.senders = p.countSenders()
+	p.delegation.gatherers = nil
+	if len(p.delegation.to) == 0 {
+		p.delegation.gatherers = p.findGatherers(now)
+	}
 	switch {
 	case len(p.delegation.to) > 0:
 		p.delegation.endedAt = 0
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -19,6 +19,10 @@
 	patience Millis
 	// work carries the attempts. It outlives the wait for them by a while.
 	work context.Context
+	// earned is set where the request counts for the allowance of repeats already.
+	earned bool
+	// avoid names upstreams that another instance has probably tried.
+	avoid Set[string]
 
 	exclude Set[string]
 	// failed are those of them that did more than refuse for want of room.
@@ -44,11 +48,13 @@
 // run returns the first whole reply, or the last failure. ctx ends the wait for
 // the reply. A reply that comes with a failure is what the upstream answered.
 func (d *dispatch) run(ctx context.Context) (RoutedReply, *AttemptError) {
-	d.exclude = NewSet[string]()
+	d.exclude = d.avoid.Union(nil)
 	d.failed = NewSet[string]()
 	d.running = map[*Permit]struct{}{}
 	d.results = make(chan routedResult, MaxArrivals+1)
-	d.router.Allowance.Earn(d.service)
+	if !d.earned {
+		d.router.Allowance.Earn(d.service)
+	}
 	if failure := d.start(ctx, Want{}); failure != nil {
 		return RoutedReply{}, failure
 	}
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -240,21 +240,81 @@
 // nil when that replica has no room.
 func (f *Fleet) take(s *service, want Want) *Permit {
 	now := f.clock.Now()
-	candidates := f.eligible(s, want)
-	kept := preferred(candidates, func(r *replica) bool { return !r.upstream.Unlisted })
-	kept = preferred(kept, func(r *replica) bool { return !r.down && !r.ejected(now) })
+	kept := f.usable(s, want, now)
 	if len(kept) == 0 {
 		return nil
 	}
-	best := slices.MinFunc(kept, func(a, b *replica) int {
-		return cmp.Compare(f.expected(s, a, want, now), f.expected(s, b, want, now))
-	})
+	best := f.best(s, kept, want, now)
 	if !best.hasRoom(want.Exclusive) {
 		return nil
 	}
 	return f.grantPermit(best, want, now)
 }
 
+// usable returns the replicas to choose from: the eligible ones, without those that are a
+// last resort or in trouble if there are others.
+func (f *Fleet) usable(s *service, want Want, now Millis) []*replica {
+	kept := preferred(f.eligible(s, want), func(r *replica) bool { return !r.upstream.Unlisted })
+	return preferred(kept, func(r *replica) bool { return !r.down && !r.ejected(now) })
+}
+
+// best returns the replica that is expected to answer first.
+func (f *Fleet) best(s *service, usable []*replica, want Want, now Millis) *replica {
+	return slices.MinFunc(usable, func(a, b *replica) int {
+		return cmp.Compare(f.expected(s, a, want, now), f.expected(s, b, want, now))
+	})
+}
+
+// RemoteZones returns, by position, the services whose next request would go to another
+// availability zone, with the zones of their usable replicas.
+func (f *Fleet) RemoteZones(services []string) map[int][]string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
+	remote := map[int][]string{}
+	for position, name := range services {
+		s, ok := f.services[name]
+		if !ok {
+			continue
+		}
+		usable := f.usable(s, Want{}, now)
+		if len(usable) == 0 || f.best(s, usable, Want{}, now).upstream.Zone == f.zone {
+			continue
+		}
+		zones := NewSet[string]()
+		for _, r := range usable {
+			zones.Add(r.upstream.Zone)
+		}
+		delete(zones, f.zone)
+		remote[position] = zones.Sorted()
+	}
+	return remote
+}
+
+// InZone returns the upstreams of a service in an availability zone, unless it has usable
+// ones nowhere else.
+func (f *Fleet) InZone(name, zone string) Set[string] {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	inside := NewSet[string]()
+	s, ok := f.services[name]
+	if !ok {
+		return inside
+	}
+	elsewhere := false
+	for _, r := range f.usable(s, Want{}, f.clock.Now()) {
+		if r.upstream.Zone == zone {
+			inside.Add(r.upstream.Name)
+		} else {
+			elsewhere = true
+		}
+	}
+	if !elsewhere {
+		return NewSet[string]()
+	}
+	return inside
+}
+
 // preferred returns the candidates that match, or all where none does.
 func preferred(candidates []*replica, match func(*replica) bool) []*replica {
 	var kept []*replica
--- a/core/router.go
+++ b/core/router.go
@@ -22,6 +22,8 @@
 	// Choice says which instances requests are delegated to, by DelegateClient.
 	Choice         DelegateChoice
 	DelegateClient DelegateClient
+	// GroupClient has other instances gather groups of shards, unless it is nil.
+	GroupClient GroupClient
 	// Quarantine keeps the verdicts on requests that crash upstreams.
 	Quarantine *Quarantine
 	// Observe is told of each answer and the time that it took, unless it is nil.
@@ -172,7 +174,7 @@
 	case settling:
 		return refuseRouted(ReasonNotReady, max(RetrySoonMillis, settled-r.Clock.Now()), "other instances and upstreams are being found"), false
 	case g.route.Scattered():
-		return r.scatter(ctx, g.route, g.request, g.deadline), false
+		return r.scatter(ctx, g), false
 	}
 	return r.forward(ctx, g.route, g.request, g.deadline), false
 }
--- a/core/store_test.go
+++ b/core/store_test.go
@@ -17,6 +17,10 @@
 	if _, err := fmt.Sscan(string(raw), &c.Version, &c.Digest); err != nil {
 		return Configuration{}, errors.New("garbage")
 	}
+	var services int
+	if _, err := fmt.Sscan(string(raw), new(uint64), new(string), &services); err == nil {
+		c.Services = make([]Service, services)
+	}
 	c.Raw = raw
 	return c, nil
 }
--- /dev/null
+++ b/io/peer/group.go
@@ -0,0 +1,167 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/bits"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	grpcpeer "google.golang.org/grpc/peer"
+	"google.golang.org/grpc/status"
+
+	"acaciavane/core"
+	"acaciavane/io/peer/peerpb"
+)
+
+// maxGroupShards is more shards than a published configuration has room to name.
+const maxGroupShards = 1 << 16
+
+// Gather implements core.GroupClient.
+func (c *Client) Gather(ctx context.Context, address string, request core.GroupRequest, take func(core.GroupReport)) error {
+	peer, err := c.peer(address)
+	if err != nil {
+		return fmt.Errorf("%w: %w", core.ErrNotDelivered, err)
+	}
+	// The address is filled in only for a call that was given to a connection.
+	var reached grpcpeer.Peer
+	err = gather(ctx, peer, request, take, grpc.Peer(&reached))
+	switch {
+	case err == nil:
+		return nil
+	case status.Code(err) == codes.FailedPrecondition:
+		return fmt.Errorf("%w: %w", core.ErrGroupRefused, err)
+	case reached.Addr == nil || refusedCall(err):
+		return fmt.Errorf("%w: gather at %s: %w", core.ErrNotDelivered, address, err)
+	}
+	return fmt.Errorf("gather at %s: %w", address, err)
+}
+
+func gather(ctx context.Context, peer peerpb.PeerClient, request core.GroupRequest, take func(core.GroupReport), options ...grpc.CallOption) error {
+	// The call ends with the function, whether its reports were read to the end or not.
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stream, err := peer.Gather(ctx, toGroupRequest(request), options...)
+	if err != nil {
+		return err
+	}
+	for {
+		wire, err := stream.Recv()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		report, err := fromGroupReport(wire)
+		if err != nil {
+			return err
+		}
+		take(report)
+	}
+}
+
+// Gather implements peerpb.PeerServer.
+func (s *Server) Gather(wire *peerpb.GroupRequest, stream grpc.ServerStreamingServer[peerpb.GroupReport]) error {
+	request, err := fromGroupRequest(wire)
+	if err != nil {
+		return s.malformed(err)
+	}
+	err = s.handler.AnswerGroup(stream.Context(), request, func(report core.GroupReport) error {
+		return stream.Send(toGroupReport(report))
+	})
+	if errors.Is(err, core.ErrGroupRefused) {
+		return status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return err
+}
+
+func toGroupRequest(request core.GroupRequest) *peerpb.GroupRequest {
+	return &peerpb.GroupRequest{
+		Request:           toRoutedRequest(request.DelegatedRequest),
+		Shards:            toBits(request.Shards),
+		ReportAfterMillis: int64(request.ReportAfter),
+	}
+}
+
+func fromGroupRequest(wire *peerpb.GroupRequest) (core.GroupRequest, error) {
+	delegated, err := fromRoutedRequest(wire.GetRequest())
+	if err != nil {
+		return core.GroupRequest{}, err
+	}
+	shards, err := fromBits(wire.GetShards())
+	if err != nil {
+		return core.GroupRequest{}, err
+	}
+	if len(shards) == 0 || wire.GetReportAfterMillis() < 0 {
+		return core.GroupRequest{}, ErrMalformed
+	}
+	return core.GroupRequest{
+		DelegatedRequest: delegated,
+		Shards:           shards,
+		ReportAfter:      core.Millis(wire.GetReportAfterMillis()),
+	}, nil
+}
+
+func toGroupReport(report core.GroupReport) *peerpb.GroupReport {
+	wire := &peerpb.GroupReport{
+		Shards:  toBits(report.Shards),
+		Records: report.Records,
+		Failed:  toBits(report.Failed),
+		NotRun:  toBits(report.NotRun),
+	}
+	for _, signature := range report.Signatures {
+		wire.Signatures = append(wire.Signatures, []byte(signature))
+	}
+	return wire
+}
+
+func fromGroupReport(wire *peerpb.GroupReport) (core.GroupReport, error) {
+	var report core.GroupReport
+	for _, field := range []struct {
+		bits  []byte
+		named *[]int
+	}{{wire.GetShards(), &report.Shards}, {wire.GetFailed(), &report.Failed}, {wire.GetNotRun(), &report.NotRun}} {
+		named, err := fromBits(field.bits)
+		if err != nil {
+			return core.GroupReport{}, err
+		}
+		*field.named = named
+	}
+	if len(wire.GetSignatures()) != len(report.Shards) {
+		return core.GroupReport{}, ErrMalformed
+	}
+	for _, signature := range wire.GetSignatures() {
+		report.Signatures = append(report.Signatures, string(signature))
+	}
+	report.Records = wire.GetRecords()
+	return report, nil
+}
+
+// toBits sets the bits at ascending positions.
+func toBits(positions []int) []byte {
+	if len(positions) == 0 {
+		return nil
+	}
+	set := make([]byte, positions[len(positions)-1]/8+1)
+	for _, position := range positions {
+		set[position/8] |= 1 << (position % 8)
+	}
+	return set
+}
+
+// fromBits returns the positions of the bits that are set, ascending.
+func fromBits(set []byte) ([]int, error) {
+	if len(set) > maxGroupShards/8 {
+		return nil, ErrMalformed
+	}
+	var positions []int
+	for i, octet := range set {
+		for ; octet != 0; octet &= octet - 1 {
+			positions = append(positions, 8*i+bits.TrailingZeros8(octet))
+		}
+	}
+	return positions, nil
+}
--- /dev/null
+++ b/io/peer/group_test.go
@@ -0,0 +1,110 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"acaciavane/core"
+	"acaciavane/io/peer/peerpb"
+)
+
+func group() core.GroupRequest {
+	return core.GroupRequest{
+		DelegatedRequest: core.DelegatedRequest{
+			Request: core.RoutedRequest{ID: "id", Message: core.Message{
+				Method: "GET", Host: "h", Target: "/p/1?q", Fields: []core.Field{{Name: "A", Value: "b"}}, Body: []byte("body"),
+			}},
+			ConfigurationVersion: 7, Elapsed: 3, Left: 400,
+		},
+		Shards: []int{0, 7, 8, 179}, ReportAfter: 25,
+	}
+}
+
+func TestGroups(t *testing.T) {
+	reports := []core.GroupReport{
+		{Shards: []int{0, 179}, Signatures: []string{"a", "b\xff"}, Records: []byte("0123456789abcdef")},
+		{Failed: []int{7}, NotRun: []int{8}},
+	}
+	Convey("Given an instance that gathers groups of shards", t, func() {
+		f := newFixture()
+		defer f.close()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		var got []core.GroupReport
+		take := func(report core.GroupReport) { got = append(got, report) }
+		Convey("the group and its reports arrive whole", func() {
+			f.handler.reports = reports
+			So(f.client.Gather(ctx, f.address, group(), take), ShouldBeNil)
+			So(f.handler.group, ShouldResemble, group())
+			So(got, ShouldResemble, reports)
+		})
+		Convey("a refusal is told from an end midway", func() {
+			f.handler.refuses = core.ErrGroupRefused
+			So(errors.Is(f.client.Gather(ctx, f.address, group(), take), core.ErrGroupRefused), ShouldBeTrue)
+			f.handler.refuses = errors.New("lost")
+			err := f.client.Gather(ctx, f.address, group(), take)
+			So(errors.Is(err, core.ErrGroupRefused) || errors.Is(err, core.ErrNotDelivered), ShouldBeFalse)
+			f.handler.panics = true
+			err = f.client.Gather(ctx, f.address, group(), take)
+			So(errors.Is(err, core.ErrGroupRefused) || errors.Is(err, core.ErrNotDelivered), ShouldBeFalse)
+		})
+		Convey("one that is not there got nothing", func() {
+			f.close()
+			So(errors.Is(f.client.Gather(ctx, f.address, group(), take), core.ErrNotDelivered), ShouldBeTrue)
+		})
+		Convey("a group without shards is malformed", func() {
+			empty := group()
+			empty.Shards = nil
+			So(errors.Is(f.client.Gather(ctx, f.address, empty, take), core.ErrNotDelivered), ShouldBeTrue)
+		})
+	})
+	Convey("A report with fewer signatures than shards is malformed", t, func() {
+		_, err := fromGroupReport(&peerpb.GroupReport{Shards: []byte{3}, Signatures: [][]byte{[]byte("a")}})
+		So(errors.Is(err, ErrMalformed), ShouldBeTrue)
+	})
+}
+
+func TestBits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		set := core.NewSet(rapid.SliceOf(rapid.IntRange(0, maxGroupShards-1)).Draw(t, "positions")...)
+		positions, err := fromBits(toBits(set.Sorted()))
+		if err != nil || !slices.Equal(positions, set.Sorted()) {
+			t.Errorf("got %v, %v", positions, err)
+		}
+	})
+}
+
+// FuzzGroups decodes what peers may say of groups.
+func FuzzGroups(f *testing.F) {
+	request, err := proto.Marshal(toGroupRequest(group()))
+	if err != nil {
+		f.Fatal(err)
+	}
+	report, err := proto.Marshal(toGroupReport(core.GroupReport{Shards: []int{1, 9}, Signatures: []string{"a", "b"}, Failed: []int{2}}))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(request)
+	f.Add(report)
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var wireRequest peerpb.GroupRequest
+		if proto.Unmarshal(raw, &wireRequest) == nil {
+			if decoded, err := fromGroupRequest(&wireRequest); err == nil && len(decoded.Shards) == 0 {
+				t.Error("a group without shards")
+			}
+		}
+		var wireReport peerpb.GroupReport
+		if proto.Unmarshal(raw, &wireReport) == nil {
+			if decoded, err := fromGroupReport(&wireReport); err == nil && len(decoded.Shards) != len(decoded.Signatures) {
+				t.Errorf("%d shards, %d signatures", len(decoded.Shards), len(decoded.Signatures))
+			}
+		}
+	})
+}
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -29,10 +29,28 @@
 	// delegated is the last delegated request, and delegatedAnswer its answer.
 	delegated       core.DelegatedRequest
 	delegatedAnswer core.DelegatedAnswer
+	// group is the last group that was to be gathered, reports are what is said of it, and
+	// refuses is the error before them.
+	group   core.GroupRequest
+	reports []core.GroupReport
+	refuses error
 	// panics makes exchanges fail unexpectedly.
 	panics bool
 }
 
+func (f *fakeHandler) AnswerGroup(_ context.Context, request core.GroupRequest, report func(core.GroupReport) error) error {
+	f.group = request
+	if f.panics {
+		panic("unexpected")
+	}
+	for _, r := range f.reports {
+		if err := report(r); err != nil {
+			return err
+		}
+	}
+	return f.refuses
+}
+
 func (f *fakeHandler) Receive(message core.Exchange) core.Exchange {
 	if f.panics {
 		panic("unexpected")
