--- a/core/request.go
+++ b/core/request.go
@@ -83,6 +83,8 @@
 	ReasonUpstreamRefused    Reason = "upstreamRefused"
 	ReasonConnectionLost     Reason = "connectionLost"
 	ReasonTimeout            Reason = "timeout"
+	// ReasonCallerLeft is the reason of an unknown outcome that nobody waits for any more.
+	ReasonCallerLeft Reason = "callerLeft"
 )
 
 // Record is one record of a collection as an upstream returned it.
--- a/core/router.go
+++ b/core/router.go
@@ -99,6 +99,9 @@
 	}
 	request.fingerprint = request.newFingerprint()
 	answer := r.answer(ctx, request)
+	if answer.Outcome == OutcomeUnknown && ctx.Err() != nil {
+		answer.Reason = ReasonCallerLeft
+	}
 	r.finish(request, answer)
 	return answer
 }
--- a/core/router_test.go
+++ b/core/router_test.go
@@ -553,7 +553,9 @@
 		}
 		ctx, leave := context.WithTimeout(context.Background(), 30*time.Millisecond)
 		defer leave()
-		f.ask(ctx)
+		if answer := f.ask(ctx); answer.Outcome != OutcomeUnknown || answer.Reason != ReasonCallerLeft {
+			t.Errorf("%s, reason %s", answer.Outcome, answer.Reason)
+		}
 		synctest.Wait()
 		f.mu.Lock()
 		defer f.mu.Unlock()
