Size the channels of a query by what can come; ignore reports beyond it

Cause: each query allocated room for twice its shards twice, with or without groups, and an instance that reported more than its group has shards held a task for ever.

--- a/core/group_test.go
+++ b/core/group_test.go
@@ -254,6 +254,9 @@
 				take(reportOf(first, route.Top))
 			case 2:
 				take(reportOf([]int{0, 1}, route.Top))
+				for range 3 * shards {
+					take(GroupReport{})
+				}
 			case 3:
 				return errors.New("lost")
 			}
--- a/core/scatter.go
+++ b/core/scatter.go
@@ -69,9 +69,6 @@
 	return &scatter{
 		router: g.router, route: g.route, request: g.request, deadline: g.deadline, version: g.table.version,
 		answered: NewSet[string](), sources: make([]int, shards), dispatches: make([]*dispatch, shards),
-		// A shard has a dispatch or a group, then perhaps another dispatch. Each is heard
-		// of once, and a group ends besides.
-		results: make(chan shardResult, 2*shards), events: make(chan groupEvent, 2*shards),
 	}
 }
 
@@ -85,6 +82,12 @@
 			s.sources[shard]++
 			s.router.Allowance.Earn(s.route.Shards[shard])
 		}
+	}
+	// A shard of a group may have a dispatch besides. Each report names at least one shard,
+	// and a group ends once.
+	s.results = make(chan shardResult, len(s.route.Shards))
+	s.events = make(chan groupEvent, len(grouped)+len(s.groups))
+	for _, group := range s.groups {
 		s.startGroup(group)
 	}
 	patience := s.router.roomPatience(s.route, s.deadline)
@@ -126,11 +129,17 @@
 		ReportAfter: s.router.paces.hedgeAfter(s.route),
 	}
 	s.router.Counters.Add(CountGroups, 1)
+	tell := func(event groupEvent) {
+		select {
+		case s.events <- event:
+		case <-s.work.Done():
+		}
+	}
 	go func() {
 		err := s.router.GroupClient.Gather(s.work, group.to.Address, request, func(report GroupReport) {
-			s.events <- groupEvent{group: group, report: report}
+			tell(groupEvent{group: group, report: report})
 		})
-		s.events <- groupEvent{group: group, ended: true, err: err}
+		tell(groupEvent{group: group, ended: true, err: err})
 	}()
 }
 
--- a/io/peer/group.go
+++ b/io/peer/group.go
@@ -130,7 +130,8 @@
 		}
 		*field.named = named
 	}
-	if len(wire.GetSignatures()) != len(report.Shards) {
+	named := len(report.Shards) + len(report.Failed) + len(report.NotRun)
+	if named == 0 || len(wire.GetSignatures()) != len(report.Shards) {
 		return core.GroupReport{}, ErrMalformed
 	}
 	for _, signature := range wire.GetSignatures() {
--- a/io/peer/group_test.go
+++ b/io/peer/group_test.go
@@ -65,7 +65,9 @@
 			So(errors.Is(f.client.Gather(ctx, f.address, empty, take), core.ErrNotDelivered), ShouldBeTrue)
 		})
 	})
-	Convey("A report with fewer signatures than shards is malformed", t, func() {
+	Convey("A report with fewer signatures than shards, or of no shard, is malformed", t, func() {
+		_, empty := fromGroupReport(&peerpb.GroupReport{Records: []byte("0123456789abcdef")})
+		So(errors.Is(empty, ErrMalformed), ShouldBeTrue)
 		_, err := fromGroupReport(&peerpb.GroupReport{Shards: []byte{3}, Signatures: [][]byte{[]byte("a")}})
 		So(errors.Is(err, ErrMalformed), ShouldBeTrue)
 	})
