--- a/core/constants.go
+++ b/core/constants.go
@@ -280,6 +280,9 @@
 	// GroupLeastObjective is the shortest objective of a route whose shards are gathered in
 	// groups. Less leaves no time for one more instance on the way and for late shards.
 	GroupLeastObjective = 75 * Millis(1)
+	// GroupReportMillis is the least time between two reports on a group: a message for each
+	// part would cost as much as asking for it.
+	GroupReportMillis = 8 * Millis(1)
 	// GroupHopMillis is how long after the first report on a group is due its late shards are
 	// asked directly: the way there and back, and the work of one report.
 	GroupHopMillis = 5 * Millis(1)
--- a/core/group.go
+++ b/core/group.go
@@ -18,7 +18,7 @@
 	// Shards are the positions of the shards in the route's list, ascending.
 	Shards []int
 	// ReportAfter is when the parts that are in by then are reported. What comes later is
-	// reported as it comes.
+	// reported each GroupReportMillis, and at once when all is known.
 	ReportAfter Millis
 }
 
@@ -225,8 +225,8 @@
 	return results
 }
 
-// reportGroup reports the parts that are in at the time that was asked for, and later ones
-// as they come.
+// reportGroup reports the parts that are in at the time that was asked for, later ones from
+// time to time, and the last one at once.
 func (s *scatter) reportGroup(ctx context.Context, group GroupRequest, results <-chan shardResult, report func(GroupReport) error) error {
 	due := s.router.Clock.After(group.ReportAfter)
 	batch := &groupBatch{}
@@ -241,13 +241,14 @@
 		case <-ctx.Done():
 			return ctx.Err()
 		}
-		if batch.size() == 0 || len(results) > 0 || (pending > 0 && !reporting) {
+		if batch.size() == 0 || (pending > 0 && (!reporting || len(results) > 0)) {
 			continue
 		}
 		if err := report(batch.report(s.route.Top)); err != nil {
 			return err
 		}
-		batch = &groupBatch{}
+		batch, reporting = &groupBatch{}, false
+		due = s.router.Clock.After(GroupReportMillis)
 	}
 	return nil
 }
