Have instances that delegate their requests ask nobody for the list of upstreams

Cause: an instance that does not read the store asks its peers for the list of upstreams. One that delegates its requests never reads it, so that 280 of 295 instances at the large site took in a list of 1,360 to 2,170 upstreams at each of its changes, by each exchange. Found from the lines "upstreams changed" of instances that should have no list. TestListsOfThoseThatDelegate failed first.

Ruled out before: connections of instances that send by themselves (none does), the time of the instances that send requests (0.11 of 0.8 cores at most).

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -97,7 +97,7 @@
 	if inForce.Configuration.Newer(peer.known()) {
 		return peer.wants
 	}
-	if p.Store.ListReadAge() > ListSilenceMillis && peer.listRevision > p.Store.List().Revision && p.Clock.Now() >= p.fetchingList {
+	if p.lacksList(peer, p.Store.List().Revision) {
 		return true
 	}
 	return peer.known().Newer(inForce.Configuration) && p.Clock.Now() >= p.fetching
@@ -183,18 +183,24 @@
 	return message
 }
 
-// mayFetchList reports whether the peer is asked for its instance list: it is
-// newer, this instance does not read the platform itself, and no list that another
-// peer was asked for is awaited. The caller holds the lock.
+// mayFetchList reports whether the peer is asked for its instance list. The caller holds the
+// lock.
 func (p *Peers) mayFetchList(peer *peerState, revision uint64) bool {
-	now := p.Clock.Now()
-	if now < p.fetchingList || peer.listRevision <= revision || p.Store.ListReadAge() <= ListSilenceMillis {
+	if !p.lacksList(peer, revision) {
 		return false
 	}
-	p.fetchingList = now + ExchangeTimeoutMillis
+	p.fetchingList = p.Clock.Now() + ExchangeTimeoutMillis
 	return true
 }
 
+// lacksList reports whether this instance needs the peer's instance list: it is newer, this
+// instance sends requests to upstreams and does not read the platform itself, and no list
+// that another peer was asked for is awaited. The caller holds the lock.
+func (p *Peers) lacksList(peer *peerState, revision uint64) bool {
+	return peer.listRevision > revision && p.Clock.Now() >= p.fetchingList &&
+		len(p.currentDelegation().to) == 0 && p.Store.ListReadAge() > ListSilenceMillis
+}
+
 // sample returns some of the instances that were heard of lately, drawn anew for
 // each message. The caller holds the lock.
 func (p *Peers) sample(peer *peerState) []KnownPeer {
--- a/core/publications_test.go
+++ b/core/publications_test.go
@@ -234,6 +234,38 @@
 	}
 }
 
+// TestListsOfThoseThatDelegate covers the load of hundreds of instances that take in the list
+// of thousands of upstreams at each of its changes: one that delegates its requests asks
+// nobody for it, and one that has lost its delegates asks its peers while the store is away.
+func TestListsOfThoseThatDelegate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startPublications(t, 0)
+		f.platform.mu.Lock()
+		f.platform.down = true
+		f.platform.mu.Unlock()
+		weak := Exchange{From: PeerInfo{Name: "weak", Zone: "z", Address: "weak", Incarnation: 1, Capacity: 192}, ListRevision: 9}
+		strong := Exchange{From: PeerInfo{Name: "strong", Zone: "z", Address: "strong", Incarnation: 1, Capacity: 800}, ListRevision: 9}
+		for _, tc := range []struct {
+			name  string
+			lost  bool
+			wants bool
+		}{{"with delegates", false, false}, {"without", true, true}} {
+			f.peers.Receive(strong)
+			if tc.lost {
+				f.peers.DelegateFailed("strong", ErrPeerUnreachable)
+			}
+			time.Sleep((ListSilenceMillis + Second).Duration())
+			wants := false
+			if !tc.lost {
+				wants = f.peers.Receive(strong).WantsList
+			}
+			if wants = f.peers.Receive(weak).WantsList || wants; wants != tc.wants {
+				t.Errorf("%s: wants the list: %t", tc.name, wants)
+			}
+		}
+	})
+}
+
 // TestLateSeeds covers instances that start before those that they ask first: they find
 // them soon after these listen, not after the pauses of a fleet at rest.
 func TestLateSeeds(t *testing.T) {
