--- a/core/constants.go
+++ b/core/constants.go
@@ -12,6 +12,14 @@
 	// MaxHeldReplyBytes is how much memory all replies that are being read may take: two of
 	// the largest. The garbage that they leave comes on top of it.
 	MaxHeldReplyBytes = 2 * MaxReplyBytes
+	// MaxIdentityBytes is the longest request identity that a caller may choose.
+	MaxIdentityBytes = 128
+	// MaxTimeoutMillis is the longest deadline that a kind or a caller may set.
+	MaxTimeoutMillis = 10 * Minute
+	// MaxPublishedBytes is the largest value that the platform holds.
+	MaxPublishedBytes = 1 << 20
+	// MaxSnapshotRounds is how many snapshots one query may try.
+	MaxSnapshotRounds = 3
 )
 
 // Timing of the control traffic.
