--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -7,8 +7,8 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"acaciavane/core"
@@ -187,30 +187,45 @@
 	return readLong(head.Body)
 }
 
+// pieces are used again and again: the garbage of bodies that are given up would come faster
+// than it is collected.
+var pieces = sync.Pool{New: func() any { return new([bodyAheadBytes]byte) }}
+
 // readLong reads a body in pieces. A slice that grows would leave several times its size as
 // garbage.
 func readLong(body io.Reader) ([]byte, error) {
-	var pieces [][]byte
-	piece := make([]byte, 0, readBufferBytes)
+	var full []*[bodyAheadBytes]byte
+	defer func() {
+		for _, piece := range full {
+			pieces.Put(piece)
+		}
+	}()
 	for total := 0; ; {
-		if len(piece) == cap(piece) {
-			pieces = append(pieces, piece)
-			piece = make([]byte, 0, bodyAheadBytes)
+		if total == len(full)*bodyAheadBytes {
+			full = append(full, pieces.Get().(*[bodyAheadBytes]byte))
 		}
-		count, err := body.Read(piece[len(piece):cap(piece)])
-		piece = piece[:len(piece)+count]
+		count, err := body.Read(full[len(full)-1][total%bodyAheadBytes:])
 		total += count
 		switch {
 		case total > core.MaxReplyBytes:
 			return nil, errReplyTooLarge
 		case errors.Is(err, io.EOF):
-			return slices.Concat(append(pieces, piece)...), nil
+			return join(full, total), nil
 		case err != nil:
 			return nil, err
 		}
 	}
 }
 
+// join returns the first bytes of all pieces.
+func join(full []*[bodyAheadBytes]byte, total int) []byte {
+	whole := make([]byte, 0, total)
+	for _, piece := range full {
+		whole = append(whole, piece[:min(bodyAheadBytes, total-len(whole))]...)
+	}
+	return whole
+}
+
 // connectionBroke tells errors of a connection from those of what came on it.
 func connectionBroke(err error) bool {
 	var failure net.Error
