Log when an upstream names a request limit and when the limit ends

The logs could not show which answers bear the header Server-Limit, nor how many requests each instance sent to an upstream that named one. The lines 'upstream limited' and 'upstream no longer limited' do. The logic of routing is unchanged.

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -73,6 +73,7 @@
 	i.facts = core.NewFactLog(clock)
 	i.fleet = core.NewFleet(clock, settings.Zone, settings.Policy, i.recordFact)
 	i.fleet.OnChange(i.logUpstream)
+	i.fleet.OnLimitChange(i.logLimit)
 	i.quarantine = core.NewQuarantine(clock, i.recordFact)
 	i.budget = core.NewTokenBudget(core.ExtraLoadShare, core.ExtraLoadBurst)
 	i.pause = core.NewPauseGuard(clock, i.counters, i.refreshView)
@@ -220,6 +221,16 @@
 		"incarnation", change.Incarnation, "cause", change.Cause, "heardMillisAgo", int64(i.clock.Since(change.HeardAt)))
 }
 
+// logLimit logs a change of the request limit of an upstream.
+func (i *instance) logLimit(change core.LimitChange) {
+	fields := []any{"upstream", change.Name, "service", change.Service, "source", change.Source, "sent", change.Sent}
+	if limit, limited := change.Limit.Get(); limited {
+		i.log.Info("upstream limited", append(fields, "limitPerSecond", limit)...)
+		return
+	}
+	i.log.Info("upstream no longer limited", fields...)
+}
+
 // recordFact records a fact that this instance has seen. Exchanges pass it on to the peers.
 func (i *instance) recordFact(fact core.Fact) {
 	if i.facts.Merge(fact) {
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -146,6 +146,7 @@
 		Deadline: d.deadline,
 	})
 	result := routedResult{permit: permit, reply: reply}
+	permit.RecordLimit(reply.Limit)
 	if err != nil {
 		result.failure = attemptFailure(err)
 		if reply.Status != 0 {
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -25,6 +25,8 @@
 	notify func(Fact)
 	// onChange, if set, is called when an upstream goes in or out of use.
 	onChange func(UpstreamChange)
+	// onLimitChange, if set, is called when the request limit of an upstream changes.
+	onLimitChange func(LimitChange)
 
 	// alerts signals that an upstream may have become unreachable.
 	alerts chan struct{}
@@ -353,6 +355,7 @@
 // grantPermit occupies capacity of the replica for one request. f.mu must be held.
 func (f *Fleet) grantPermit(r *replica, want Want, now Millis) *Permit {
 	r.inFlight++
+	r.requestLimit.sent++
 	r.exclusive = want.Exclusive
 	return &Permit{fleet: f, replica: r, target: r.target(), since: now, want: want}
 }
--- a/core/message.go
+++ b/core/message.go
@@ -79,6 +79,8 @@
 	Signature string
 	// Load is the load that the upstream reported, if any.
 	Load Option[UpstreamLoad]
+	// Limit is what the upstream said about its request limit.
+	Limit LimitStatement
 }
 
 // Success reports whether the upstream answered the request, with a 2xx status.
--- a/core/replica.go
+++ b/core/replica.go
@@ -28,6 +28,8 @@
 	exclusive bool
 	// limit is the adaptive concurrency limit of this instance.
 	limit float64
+	// requestLimit is the limit that the upstream names for all instances together.
+	requestLimit upstreamLimit
 	// latency is a moving average, in milliseconds.
 	latency float64
 	// usedAt is when latency was last updated.
@@ -124,6 +126,7 @@
 	r.failures = 0
 	r.ejections = 0
 	r.ejectedUntil = 0
+	r.requestLimit = upstreamLimit{}
 	r.restartedAt = now
 }
 
