Keep the requests of all instances within the limit that an upstream names

What callers saw: nothing yet; the upstreams saw it. An upstream that named a limit of 4.1 requests a second got 8.6, one with 10 got 24. An upstream in need that gets more than it can take fails, and then callers lose their answers.

The class of fault is a limit on a shared resource that each instance has to keep together with all others. The connection limit and the retry budget are divided by the number of instances; a few requests a second can't be divided among dozens of instances.

Ruled out: an equal share for each instance (each would have to be allowed one request at a time, which for 40 instances is more than the limit); a share by the traffic of each instance (the sum of random arrivals exceeds the limit, and traffic shifts); sending through one instance only (a restart or a cut of it takes all of the upstream's capacity away, and each request pays a hop).

Change: each request to an upstream with a limit uses up a token. The tokens of all upstreams of a zone are granted by one instance there, the coordinator, from a bucket that is filled at the rate of the limit and begins empty. Every instance derives the coordinator from the instances that it can reach; an instance that is asked and knows a better one redirects, and steps in if the asker can't reach that one. Coordinators of a divided fleet grant the share of the instances that they reach. Limits and their ends spread as facts, so that a restarted instance learns of them before its first request. Hedges, retries, probes, delegated requests and groups pass through the same place. A request goes to another upstream if one has room; if all are at their limits beyond the time that it may wait, it is refused at once with a Retry-After that comes from the bucket.

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -37,6 +37,7 @@
 	pause      *core.PauseGuard
 	lag        *core.LagMeter
 	prober     *core.Prober
+	tokens     *core.TokenKeeper
 	peers      *core.Peers
 	watcher    *core.PlatformWatcher
 	engine     *core.Engine
@@ -178,6 +179,15 @@
 		JoinTimeout:         sources.joinTimeout,
 		JoinGossipTimeout:   sources.joinGossipTimeout,
 	})
+	i.tokens = core.NewTokenKeeper(core.TokenKeeperConfig{
+		Self:     i.self.Address,
+		Clock:    i.clock,
+		Fleet:    i.fleet,
+		Peers:    i.peers,
+		Client:   i.peerClient,
+		Counters: i.counters,
+		Log:      i.log,
+	})
 	i.watcher = core.NewPlatformWatcher(core.PlatformWatcherConfig{
 		Clock:     i.clock,
 		Platform:  sources.platform,
@@ -248,6 +258,8 @@
 		i.quarantine.Apply(fact)
 	case core.FactTicketsMoved:
 		i.orders.RecordMoved(fact)
+	case core.FactUpstreamLimit:
+		i.fleet.ApplyLimit(fact)
 	}
 }
 
@@ -283,6 +295,7 @@
 	group.Go(func() error { return i.pause.Run(ctx) })
 	group.Go(func() error { return i.peers.Run(ctx) })
 	group.Go(func() error { return i.watcher.Run(ctx) })
+	group.Go(func() error { return i.tokens.Run(ctx) })
 	if i.routes == nil {
 		group.Go(func() error { return i.prober.Run(ctx) })
 	} else {
@@ -390,6 +403,11 @@
 	return i.routes.router.AnswerGroup(ctx, request, report)
 }
 
+// GrantTokens implements peer.Handler.
+func (i *instance) GrantTokens(request core.TokenRequest) core.TokenReply {
+	return i.tokens.Grant(request)
+}
+
 // Mint implements peer.Handler.
 func (i *instance) Mint() core.Ticket {
 	return i.orders.Mint()
--- a/core/constants.go
+++ b/core/constants.go
@@ -249,6 +249,31 @@
 	ReplyMarginMillis = 15 * Millis(1)
 )
 
+// Request limits that upstreams name.
+const (
+	// TokenTTLMillis is how long after its request a token may be used. It is short, so that
+	// the requests within a few seconds hardly exceed the tokens granted in them.
+	TokenTTLMillis = 500 * Millis(1)
+	// TokenBurstMillis is the time for which a bucket saves up tokens, beyond the first.
+	TokenBurstMillis = 250 * Millis(1)
+	// TokenPrefetchMillis is the mean time between two requests for a token that no request waits
+	// for.
+	TokenPrefetchMillis = 1 * Second
+	// TokenRetryMillis is how long after a failed request for tokens the next one is sent.
+	TokenRetryMillis = 100 * Millis(1)
+	// TokenCallTimeoutMillis is the timeout of one call for tokens.
+	TokenCallTimeoutMillis = 100 * Millis(1)
+	// MaxTokenCalls is how many instances are asked for the same tokens, one after the other.
+	MaxTokenCalls = 4
+	// MaxTokensPerRequest is the largest number of tokens for one upstream in a request.
+	MaxTokensPerRequest = 64
+	// MinTokenRate is the lowest rate, in tokens a second, at which a bucket is filled. With a
+	// limit of zero, some requests must be sent to learn that the limit has ended.
+	MinTokenRate = 0.2
+	// TokenBucketIdleMillis is how long an unused bucket is kept.
+	TokenBucketIdleMillis = 1 * Minute
+)
+
 // Aggregators: instances that send requests to upstreams on behalf of others.
 const (
 	// AggregatorCapacityRatio is the largest ratio of the highest capacity in the fleet to the
--- a/core/counters.go
+++ b/core/counters.go
@@ -72,6 +72,12 @@
 	CountPeerBytes
 	// CountPauses counts suspensions of the process.
 	CountPauses
+	// CountTokenRequests counts requests for tokens of upstreams with a request limit, and
+	// CountTokenFailures those without a reply from a coordinator.
+	CountTokenRequests
+	CountTokenFailures
+	// CountLimited counts requests refused because of request limits.
+	CountLimited
 	counterCount
 )
 
@@ -115,6 +121,9 @@
 	CountMalformedPeerMessages:   "peerGarbage",
 	CountPeerBytes:               "peerBytes",
 	CountPauses:                  "pauses",
+	CountTokenRequests:           "tokenRequests",
+	CountTokenFailures:           "tokenFailures",
+	CountLimited:                 "refusedByRequestLimit",
 }
 
 // String returns the name of the counter in metrics and state dumps, in camel case.
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -107,6 +107,7 @@
 	want.Service = d.service
 	want.Priority = d.route.Priority
 	want.KeepOnConnectionLoss = true
+	want.WaitUntil = d.queueDeadline
 	if want.Exclude == nil {
 		want.Exclude = d.exclude
 	}
--- a/core/facts.go
+++ b/core/facts.go
@@ -17,6 +17,8 @@
 	FactVerdict FactKind = "requestVerdict"
 	// FactTicketsMoved reports which instance took over the tickets of a stopped one.
 	FactTicketsMoved FactKind = "ticketsMoved"
+	// FactUpstreamLimit reports the request limit of an upstream, or its end.
+	FactUpstreamLimit FactKind = "upstreamLimit"
 )
 
 // Fact is an event that one instance has observed and gossips to the others.
@@ -26,7 +28,8 @@
 	// minted the tickets.
 	Subject string
 	// Stamp orders the facts of one kind on one subject; a higher one replaces a lower
-	// one. It is the upstream's incarnation, or the time of the verdict or the takeover.
+	// one. It is the upstream's incarnation, the time of the verdict or the takeover, or the
+	// number of the change of the request limit.
 	Stamp uint64
 	// Verdict is set only for FactVerdict.
 	Verdict Verdict
@@ -36,6 +39,11 @@
 	// Address is the instance that took over the tickets. It is set only for
 	// FactTicketsMoved.
 	Address string
+	// Incarnation is the upstream's incarnation, and LimitPerSecond its limit if Limited is set.
+	// They are set only for FactUpstreamLimit.
+	Incarnation    uint64
+	Limited        bool
+	LimitPerSecond float64
 	// Age is how long ago the fact was first observed.
 	Age Millis
 }
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -30,8 +30,13 @@
 
 	// alerts signals that an upstream may have become unreachable.
 	alerts chan struct{}
+	// tokenSignals signals that tokens are to be requested.
+	tokenSignals chan struct{}
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// limits holds the request limits by name of the upstream. Some of the upstreams may not
+	// be known yet.
+	limits   map[string]*upstreamLimit
 	services map[string]*service
 	replicas map[string]*replica
 	zones    map[string]*zoneHealth
@@ -61,8 +66,11 @@
 	// until a probe or another attempt fails to reach it.
 	KeepOnConnectionLoss bool
 	// NoWait makes Acquire fail at once when no replica has free capacity.
-	NoWait   bool
-	Priority int
+	NoWait bool
+	// WaitUntil, if not zero, is when the wait for a replica ends. Acquire fails at once with a
+	// *LimitedError if all replicas are at their request limits until then.
+	WaitUntil Millis
+	Priority  int
 }
 
 // NewFleet returns a fleet without upstreams for an instance in the given zone.
@@ -77,6 +85,9 @@
 		replicas: map[string]*replica{},
 		zones:    map[string]*zoneHealth{},
 		alerts:   make(chan struct{}, 1),
+
+		tokenSignals: make(chan struct{}, 1),
+		limits:       map[string]*upstreamLimit{},
 	}
 }
 
@@ -100,6 +111,7 @@
 	}
 	f.services = services
 	f.replicas = replicas
+	f.retainLimits()
 	for _, s := range services {
 		f.grant(s)
 	}
@@ -118,7 +130,7 @@
 func (f *Fleet) reuseReplica(spec Service, upstream Upstream, share int) *replica {
 	r, ok := f.replicas[upstream.Name]
 	if !ok || r.upstream.Address != upstream.Address || r.upstream.Zone != upstream.Zone || r.service != spec.Name {
-		return newReplica(spec, upstream, share)
+		return newReplica(spec, upstream, share, f.limitOf(upstream.Name))
 	}
 	r.upstream.Unlisted = upstream.Unlisted
 	if r.slots != spec.Slots || r.share != share {
@@ -199,7 +211,7 @@
 
 // Acquire waits for a replica with free capacity and returns a permit for one
 // request. It returns ErrNoReplica if no replica is eligible, or if want.NoWait is
-// set and the request would have to wait.
+// set and the request would have to wait, and a *LimitedError as want.WaitUntil says.
 func (f *Fleet) Acquire(ctx context.Context, want Want) (*Permit, error) {
 	f.mu.Lock()
 	s, ok := f.services[want.Service]
@@ -217,7 +229,11 @@
 		f.mu.Unlock()
 		return nil, ErrNoReplica
 	}
-	w := &waiter{want: want, granted: make(chan *Permit, 1)}
+	if err := f.limitedError(s, want); err != nil {
+		f.mu.Unlock()
+		return nil, err
+	}
+	w := &waiter{want: want, granted: make(chan grantResult, 1)}
 	s.enqueue(w)
 	f.mu.Unlock()
 	return f.await(ctx, s, w)
@@ -252,11 +268,12 @@
 	return allowed
 }
 
-// tryAcquire returns a permit for the replica that is expected to answer first. It
-// returns nil if there is none or if that replica has no free capacity.
+// tryAcquire returns a permit for the replica that is expected to answer first, out of
+// those within their request limits. It returns nil if there is none or if that replica
+// has no free capacity.
 func (f *Fleet) tryAcquire(s *service, want Want) *Permit {
 	now := f.clock.Now()
-	candidates := f.usable(s, want, now)
+	candidates := f.withinLimits(s, f.usable(s, want, now), want, now)
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -355,7 +372,7 @@
 // grantPermit occupies capacity of the replica for one request. f.mu must be held.
 func (f *Fleet) grantPermit(r *replica, want Want, now Millis) *Permit {
 	r.inFlight++
-	r.requestLimit.sent++
+	r.requestLimit.use(now)
 	r.exclusive = want.Exclusive
 	return &Permit{fleet: f, replica: r, target: r.target(), since: now, want: want}
 }
@@ -401,7 +418,7 @@
 	}
 	now := f.clock.Now()
 	for _, r := range f.eligible(s, want) {
-		if now-r.usedAt > ExploreIntervalMillis && !r.down && !r.ejected(now) && r.hasCapacity(false) {
+		if now-r.usedAt > ExploreIntervalMillis && !r.down && !r.ejected(now) && r.hasCapacity(false) && r.requestLimit.admits(now) {
 			return f.grantPermit(r, want, now)
 		}
 	}
--- a/core/limit.go
+++ b/core/limit.go
@@ -1,5 +1,10 @@
 package core
 
+import (
+	"fmt"
+	"slices"
+)
+
 // LimitKind says what a reply states about the request limit of its upstream.
 type LimitKind int
 
@@ -11,7 +16,8 @@
 	LimitNone
 	// LimitNamed means that the upstream has a limit.
 	LimitNamed
-	// LimitUnreadable means that the reply names a limit that can't be read.
+	// LimitUnreadable means that the reply names a limit that can't be read. The known limit
+	// stays in force.
 	LimitUnreadable
 )
 
@@ -35,21 +41,45 @@
 	Sent int
 }
 
-// upstreamLimit is the request limit of one upstream as this instance knows it.
+// LimitedError means that a request was not sent because all upstreams that could run it are at
+// their request limits.
+type LimitedError struct {
+	// Wait is the time until one of them may accept another request.
+	Wait Millis
+}
+
+// Error implements the error interface.
+func (e *LimitedError) Error() string {
+	return fmt.Sprintf("all upstreams are at their request limits for %d ms", e.Wait)
+}
+
+// upstreamLimit is the request limit of one upstream as this instance knows it, with the tokens
+// that this instance holds. Each request to a limited upstream uses up a token. The coordinator
+// of the upstream's zone grants the tokens to all instances.
 type upstreamLimit struct {
+	// incarnation is the incarnation of the upstream that the limit belongs to.
+	incarnation uint64
 	// limited is set while the upstream names a limit, of perSecond requests a second.
 	limited   bool
 	perSecond float64
 	// statedAt is when the upstream last named its limit.
 	statedAt Millis
+	// stamp orders the facts about the limit. It was learned at stampedAt.
+	stamp     uint64
+	stampedAt Millis
 	// sent counts the attempts since the last change.
 	sent int
-}
 
-// OnLimitChange registers a function that is called with each change of a request limit. The
-// lock of the Fleet is held during the call, so the function must not call the Fleet.
-func (f *Fleet) OnLimitChange(report func(LimitChange)) {
-	f.onLimitChange = report
+	// tokens holds the times at which the tokens expire, in ascending order.
+	tokens []Millis
+	// wanted is how many tokens are to be requested, and requested how many the pending
+	// request asks for.
+	wanted    int
+	requested int
+	// blockedUntil is the time before which the coordinator has no further token.
+	blockedUntil Millis
+	// prefetchAt is the time from which a token may be requested that no request waits for.
+	prefetchAt Millis
 }
 
 // state applies a statement of the upstream in a reply to a request sent at sentAt, and reports
@@ -65,17 +95,135 @@
 		if !l.limited || sentAt < l.statedAt {
 			return false
 		}
-		l.limited, l.perSecond = false, 0
+		l.end()
 		return true
 	}
 	return false
 }
 
-// recordLimit applies the statement of a reply to a request sent at sentAt. f.mu must be held.
+// end removes the limit.
+func (l *upstreamLimit) end() {
+	l.limited, l.perSecond = false, 0
+	l.tokens, l.wanted, l.blockedUntil = nil, 0, 0
+}
+
+// begin removes the limit of an earlier incarnation.
+func (l *upstreamLimit) begin(incarnation uint64) {
+	if incarnation > l.incarnation {
+		l.end()
+		l.incarnation = incarnation
+	}
+}
+
+// value returns the limit in requests a second, or nothing if there is none.
+func (l *upstreamLimit) value() Option[float64] {
+	if !l.limited {
+		return None[float64]()
+	}
+	return Some(l.perSecond)
+}
+
+// admits reports whether a request may be sent now.
+func (l *upstreamLimit) admits(now Millis) bool {
+	return !l.limited || (len(l.tokens) > 0 && l.tokens[len(l.tokens)-1] > now)
+}
+
+// use uses up the token that expires first. admits must have returned true.
+func (l *upstreamLimit) use(now Millis) {
+	l.sent++
+	if !l.limited {
+		return
+	}
+	l.tokens = slices.DeleteFunc(l.tokens, func(expires Millis) bool { return expires <= now })
+	l.tokens = l.tokens[1:]
+}
+
+// pending returns how many tokens are to be requested or have been.
+func (l *upstreamLimit) pending() int {
+	return l.wanted + l.requested
+}
+
+// OnLimitChange registers a function that is called with each change of a request limit. The
+// lock of the Fleet is held during the call, so the function must not call the Fleet.
+func (f *Fleet) OnLimitChange(report func(LimitChange)) {
+	f.onLimitChange = report
+}
+
+// limitOf returns the request limit of the upstream with the name. f.mu must be held.
+func (f *Fleet) limitOf(name string) *upstreamLimit {
+	limit, ok := f.limits[name]
+	if !ok {
+		limit = &upstreamLimit{}
+		f.limits[name] = limit
+	}
+	return limit
+}
+
+// retainLimits forgets the limits of unknown upstreams that no fact has named for FactTTLMillis.
+// f.mu must be held.
+func (f *Fleet) retainLimits() {
+	now := f.clock.Now()
+	for name, limit := range f.limits {
+		if _, known := f.replicas[name]; !known && now-limit.stampedAt > FactTTLMillis {
+			delete(f.limits, name)
+		}
+	}
+}
+
+// recordLimit applies the statement of a reply to a request sent at sentAt. It notifies the other
+// instances of a change, and again before they forget it.
 func (f *Fleet) recordLimit(r *replica, statement LimitStatement, sentAt Millis) {
-	if r.requestLimit.state(statement, sentAt, f.clock.Now()) {
+	f.mu.Lock()
+	now := f.clock.Now()
+	limit := r.requestLimit
+	changed := limit.state(statement, sentAt, now)
+	if changed {
 		f.reportLimit(r, sourceUpstream)
 	}
+	if !changed && (!limit.limited || now-limit.stampedAt < FactTTLMillis/2) {
+		f.mu.Unlock()
+		return
+	}
+	limit.stamp++
+	limit.stampedAt = now
+	fact := Fact{
+		Kind: FactUpstreamLimit, Subject: r.upstream.Name, Stamp: limit.stamp,
+		Incarnation: limit.incarnation, Limited: limit.limited, LimitPerSecond: limit.perSecond,
+	}
+	f.regrant(r.service)
+	f.mu.Unlock()
+	f.notify(fact)
+}
+
+// ApplyLimit applies a fact about the request limit of an upstream, which may be unknown yet.
+func (f *Fleet) ApplyLimit(fact Fact) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	limit := f.limitOf(fact.Subject)
+	if fact.Stamp <= limit.stamp {
+		return
+	}
+	now := f.clock.Now()
+	limit.stamp, limit.stampedAt = fact.Stamp, now-fact.Age
+	if fact.Incarnation < limit.incarnation {
+		return
+	}
+	limit.begin(fact.Incarnation)
+	statement := LimitStatement{Kind: LimitNone}
+	if fact.Limited {
+		statement = LimitStatement{Kind: LimitNamed, PerSecond: fact.LimitPerSecond}
+	}
+	if r, ok := f.replicas[fact.Subject]; limit.state(statement, now, now) && ok {
+		f.reportLimit(r, "peer")
+		f.regrant(r.service)
+	}
+}
+
+// regrant gives permits to the waiters of a service. f.mu must be held.
+func (f *Fleet) regrant(name string) {
+	if s, ok := f.services[name]; ok {
+		f.grant(s)
+	}
 }
 
 // reportLimit calls the OnLimitChange function. f.mu must be held.
@@ -87,11 +235,3 @@
 	}
 	r.requestLimit.sent = 0
 }
-
-// value returns the limit in requests a second, or nothing if there is none.
-func (l *upstreamLimit) value() Option[float64] {
-	if !l.limited {
-		return None[float64]()
-	}
-	return Some(l.perSecond)
-}
--- a/core/permit.go
+++ b/core/permit.go
@@ -67,10 +67,7 @@
 
 // RecordLimit records what the reply states about the request limit of the upstream.
 func (p *Permit) RecordLimit(statement LimitStatement) {
-	f := p.fleet
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.recordLimit(p.replica, statement, p.since)
+	p.fleet.recordLimit(p.replica, statement, p.since)
 }
 
 // RecordSilence records that the attempt has waited for SilentAfterMillis without a reply.
--- a/core/prober.go
+++ b/core/prober.go
@@ -194,8 +194,12 @@
 	}
 }
 
-// probe sends one probe and passes its result to the fleet.
+// probe sends one probe and passes its result to the fleet. It sends none to an upstream that is
+// at its request limit.
 func (p *Prober) probe(ctx context.Context, target Target) {
+	if !p.fleet.AdmitProbe(target.Name) {
+		return
+	}
 	limited, cancel := p.clock.WithDeadline(ctx, p.clock.Now()+ProbeTimeoutMillis)
 	defer cancel()
 	status, err := p.client.Probe(limited, target)
--- a/core/replica.go
+++ b/core/replica.go
@@ -29,7 +29,7 @@
 	// limit is the adaptive concurrency limit of this instance.
 	limit float64
 	// requestLimit is the limit that the upstream names for all instances together.
-	requestLimit upstreamLimit
+	requestLimit *upstreamLimit
 	// latency is a moving average, in milliseconds.
 	latency float64
 	// usedAt is when latency was last updated.
@@ -61,8 +61,8 @@
 	reportedInUse bool
 }
 
-func newReplica(service Service, upstream Upstream, share int) *replica {
-	r := &replica{upstream: upstream, service: service.Name, healthPath: service.HealthPath}
+func newReplica(service Service, upstream Upstream, share int, limit *upstreamLimit) *replica {
+	r := &replica{upstream: upstream, service: service.Name, healthPath: service.HealthPath, requestLimit: limit}
 	r.resize(service.Slots, share)
 	return r
 }
@@ -126,7 +126,7 @@
 	r.failures = 0
 	r.ejections = 0
 	r.ejectedUntil = 0
-	r.requestLimit = upstreamLimit{}
+	r.requestLimit.begin(incarnation)
 	r.restartedAt = now
 }
 
--- a/core/replicastate.go
+++ b/core/replicastate.go
@@ -21,8 +21,12 @@
 	ConnectionShare int
 	LatencyMillis   float64
 	ReportedLoad    float64
-	HeardAt         Millis
-	EjectedUntil    Millis
+	// RequestLimit is the limit that the upstream names for all instances, in requests a second,
+	// and Tokens is how many requests this instance may send now.
+	RequestLimit Option[float64]
+	Tokens       int
+	HeardAt      Millis
+	EjectedUntil Millis
 }
 
 // State returns the state of all upstreams, sorted by name.
@@ -57,6 +61,8 @@
 		ConnectionShare: r.share,
 		LatencyMillis:   r.latency,
 		ReportedLoad:    r.load,
+		RequestLimit:    r.requestLimit.value(),
+		Tokens:          len(r.requestLimit.tokens),
 		HeardAt:         r.heardAt,
 		EjectedUntil:    r.ejectedUntil,
 	}
--- a/core/router.go
+++ b/core/router.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync/atomic"
 
 	"github.com/go-logr/logr"
@@ -223,6 +225,9 @@
 	switch {
 	case failure == nil, failure.Kind == FailureError:
 		return RoutedAnswer{Outcome: OutcomeAnswered, Reply: Some(reply)}
+	case d.possibleRuns == 0 && limitWait(failure) > 0:
+		d.router.Counters.Add(CountLimited, 1)
+		return refuseRouted(ReasonOverloaded, retryAfterLimit(failure), "%s has no room: %v", d.service, failure)
 	case d.possibleRuns == 0 && timedOutInQueue(failure), failure.Kind == FailureNotRun && d.possibleRuns == 0:
 		return refuseRouted(ReasonOverloaded, RetryLaterMillis, "%s has no room: %v", d.service, failure)
 	case d.possibleRuns == 0:
@@ -233,6 +238,23 @@
 	return RoutedAnswer{Outcome: OutcomeUnknown, Reason: ReasonConnectionLost, Detail: failure.Error()}
 }
 
+// limitWait returns how long request limits keep upstreams from accepting a request that failed
+// because of them, or zero if the failure has another cause.
+func limitWait(failure *AttemptError) Millis {
+	var limited *LimitedError
+	if failure != nil && errors.As(failure.Cause, &limited) {
+		return max(1, limited.Wait)
+	}
+	return 0
+}
+
+// retryAfterLimit returns the delay after which a caller whose request failed because of request
+// limits may retry. It varies, so that the callers do not return all at once.
+func retryAfterLimit(failure *AttemptError) Millis {
+	wait := max(RetrySoonMillis, limitWait(failure))
+	return wait + Millis(rand.Int64N(int64(wait)))
+}
+
 // queueDeadline returns the time until which a request may wait for a free slot at an
 // upstream. On a scattered route it may wait until the answer is closed without the
 // missing shards.
--- a/core/scatter.go
+++ b/core/scatter.go
@@ -383,7 +383,12 @@
 	s.router.Counters.Add(CountInsufficient, 1)
 	pending := len(s.route.Shards) - len(s.parts) - s.failedShards
 	if s.possibleRuns == 0 && pending == 0 {
-		answer := refuseRouted(ReasonOverloaded, RetryLaterMillis, "no shard ran the request: %v", s.lastFailure)
+		retryAfter := RetryLaterMillis
+		if limitWait(s.lastFailure) > 0 {
+			s.router.Counters.Add(CountLimited, 1)
+			retryAfter = retryAfterLimit(s.lastFailure)
+		}
+		answer := refuseRouted(ReasonOverloaded, retryAfter, "no shard ran the request: %v", s.lastFailure)
 		answer.Attempts = s.arrivals
 		return answer
 	}
--- a/core/waiters.go
+++ b/core/waiters.go
@@ -8,28 +8,31 @@
 // waiter is an attempt that waits for a replica of a service with free capacity.
 type waiter struct {
 	want Want
-	// granted receives the permit, or nil if the service has no eligible replica.
-	granted chan *Permit
+	// granted receives the permit, or the reason why there will be none.
+	granted chan grantResult
+}
+
+// grantResult is a permit, or the error that ends the wait for one.
+type grantResult struct {
+	permit *Permit
+	err    error
 }
 
 // await waits until the waiter is granted a permit, no eligible replica remains, or ctx
 // ends. If a permit is granted while ctx ends, it is released.
 func (f *Fleet) await(ctx context.Context, s *service, w *waiter) (*Permit, error) {
 	select {
-	case permit := <-w.granted:
-		if permit == nil {
-			return nil, ErrNoReplica
-		}
-		return permit, nil
+	case result := <-w.granted:
+		return result.permit, result.err
 	case <-ctx.Done():
 	}
 	f.mu.Lock()
 	s.dequeue(w)
 	f.mu.Unlock()
 	select {
-	case permit := <-w.granted:
-		if permit != nil {
-			permit.Release()
+	case result := <-w.granted:
+		if result.permit != nil {
+			result.permit.Release()
 		}
 	default:
 	}
@@ -62,26 +65,31 @@
 }
 
 // grant gives permits to the waiters in order, as far as replicas have free capacity. It
-// rejects the waiters for which no eligible replica remains. It stops at a waiter for
+// rejects the waiters for which no eligible replica remains, and those that request limits
+// would keep waiting for too long. It stops at a waiter for
 // exclusive use that gets no permit. The caller holds the lock.
 func (f *Fleet) grant(s *service) {
 	waiting := slices.Clone(s.waiters)
 	for _, w := range waiting {
 		if len(f.eligible(s, w.want)) == 0 {
 			s.dequeue(w)
-			w.granted <- nil
+			w.granted <- grantResult{err: ErrNoReplica}
 			continue
 		}
 		s.dequeue(w)
 		permit := f.tryAcquire(s, w.want)
 		if permit == nil {
+			if err := f.limitedError(s, w.want); err != nil {
+				w.granted <- grantResult{err: err}
+				continue
+			}
 			s.enqueueFront(w)
 			if w.want.Exclusive {
 				return
 			}
 			continue
 		}
-		w.granted <- permit
+		w.granted <- grantResult{permit: permit}
 	}
 }
 
--- a/io/operator/state.go
+++ b/io/operator/state.go
@@ -109,8 +109,12 @@
 	ConnectionShare  int                 `json:"connectionShare"`
 	LatencyMillis    float64             `json:"latencyMillis"`
 	ReportedLoad     float64             `json:"reportedLoad"`
-	HeardAgoMillis   int64               `json:"heardAgoMillis"`
-	EjectedForMillis int64               `json:"ejectedForMillis"`
+	// RequestLimit is the limit that the upstream names for all instances, in requests a second,
+	// or null. Tokens is how many requests this instance may send now.
+	RequestLimit     *float64 `json:"requestLimitPerSecond"`
+	Tokens           int      `json:"tokens"`
+	HeardAgoMillis   int64    `json:"heardAgoMillis"`
+	EjectedForMillis int64    `json:"ejectedForMillis"`
 }
 
 // GateBody is the state of the limit on the requests in flight of one collection.
@@ -220,6 +224,10 @@
 }
 
 func toUpstreamBody(upstream core.ReplicaState, now core.Millis) UpstreamBody {
+	var requestLimit *float64
+	if limit, limited := upstream.RequestLimit.Get(); limited {
+		requestLimit = &limit
+	}
 	return UpstreamBody{
 		Name:             upstream.Name,
 		Service:          upstream.Service,
@@ -234,6 +242,8 @@
 		ConnectionShare:  upstream.ConnectionShare,
 		LatencyMillis:    upstream.LatencyMillis,
 		ReportedLoad:     upstream.ReportedLoad,
+		RequestLimit:     requestLimit,
+		Tokens:           upstream.Tokens,
 		HeardAgoMillis:   int64(now - upstream.HeardAt),
 		EjectedForMillis: int64(max(0, upstream.EjectedUntil-now)),
 	}
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -33,7 +33,8 @@
 )
 
 // Client calls other entry instances, over one connection to each. It implements
-// core.PeerClient, core.OrderPeers, core.DelegateClient and core.GroupClient.
+// core.PeerClient, core.OrderPeers, core.DelegateClient, core.GroupClient and
+// core.TokenClient.
 type Client struct {
 	clock    core.Clock
 	counters *core.Counters
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -63,6 +63,9 @@
 		return core.ExchangeMessage{}, ErrMalformed
 	}
 	for _, fact := range wire.GetFacts() {
+		if !isLimit(fact.GetLimitPerSecond()) {
+			return core.ExchangeMessage{}, ErrMalformed
+		}
 		message.Facts = append(message.Facts, fromFact(fact))
 	}
 	return message, nil
@@ -99,6 +102,10 @@
 		Crashes:   uint32(fact.Crashes),
 		Address:   fact.Address,
 		AgeMillis: int64(fact.Age),
+
+		Incarnation:    fact.Incarnation,
+		Limited:        fact.Limited,
+		LimitPerSecond: fact.LimitPerSecond,
 	}
 }
 
@@ -111,6 +118,10 @@
 		Crashes: int(wire.GetCrashes()),
 		Address: wire.GetAddress(),
 		Age:     max(0, core.Millis(wire.GetAgeMillis())),
+
+		Incarnation:    wire.GetIncarnation(),
+		Limited:        wire.GetLimited(),
+		LimitPerSecond: wire.GetLimitPerSecond(),
 	}
 }
 
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -73,6 +73,15 @@
 func (f *fakeHandler) Adopt(book core.BookCopy) { f.book = book }
 func (f *fakeHandler) Leaving() bool            { return f.leaving }
 
+// GrantTokens grants all tokens and names the zone and the unreachable instance as redirect.
+func (f *fakeHandler) GrantTokens(request core.TokenRequest) core.TokenReply {
+	reply := core.TokenReply{Redirect: request.Zone + "/" + request.Unreachable}
+	for _, want := range request.Wants {
+		reply.Grants = append(reply.Grants, core.TokenGrant{Upstream: want.Upstream, Count: want.Count, Wait: core.Millis(want.PerSecond)})
+	}
+	return reply
+}
+
 // fixture is a server with a fake handler and a client that calls it.
 type fixture struct {
 	handler  *fakeHandler
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -31,6 +31,8 @@
 	// AnswerGroup gathers shards for a peer and calls report with each report. It returns
 	// core.ErrGroupRefused only before it has sent a request to an upstream or a report.
 	AnswerGroup(ctx context.Context, request core.GroupRequest, report func(core.GroupReport) error) error
+	// GrantTokens answers a request for tokens.
+	GrantTokens(request core.TokenRequest) core.TokenReply
 	// Leaving reports whether the instance is stopping.
 	Leaving() bool
 }
