--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"testing"
 	"time"
@@ -114,7 +115,8 @@
 	exchange := core.ExchangeMessage{
 		From: info, ConfigurationVersion: 4, ConfigurationDigest: "d", Configuration: []byte("c"),
 		ListRevision: 5, InstanceList: []byte("l"), PlatformAge: 6, Sequence: 7, SeenIncarnation: 8, SeenSequence: 9, Wants: true, Joining: true,
-		Facts: []core.Fact{{Kind: core.FactVerdict, Subject: "f", Stamp: 2, Verdict: core.VerdictSuspect, Crashes: 1, Address: "a", Age: 3}},
+		Facts: []core.Fact{{Kind: core.FactVerdict, Subject: "f", Stamp: 2, Verdict: core.VerdictSuspect, Crashes: 1, Address: "a", Age: 3},
+			{Kind: core.FactUpstreamLimit, Subject: "u", Stamp: 2, Incarnation: 4, Limited: true, LimitPerSecond: 2.5}},
 	}
 	ticket := core.Ticket{Home: core.Home{Instance: "n", Incarnation: 3}, Address: "127.0.0.1:1", Expires: 4, Nonce: [16]byte{5}, Proof: [32]byte{6}}
 	Convey("Given two instances", t, func() {
@@ -135,6 +137,24 @@
 			So(err, ShouldNotBeNil)
 			So(f.counters.Get(core.CountMalformedPeerMessages), ShouldEqual, 1)
 		})
+		Convey("a fact with a limit that is not a number is rejected", func() {
+			for _, limit := range []float64{math.NaN(), math.Inf(1), -1} {
+				message := core.ExchangeMessage{From: info, Facts: []core.Fact{{Kind: core.FactUpstreamLimit, LimitPerSecond: limit}}}
+				_, err := f.client.Exchange(ctx, f.address, message)
+				So(status.Code(err), ShouldEqual, codes.InvalidArgument)
+			}
+		})
+		Convey("tokens are requested and granted", func() {
+			reply, err := f.client.TakeTokens(ctx, f.address, core.TokenRequest{
+				Zone: "z", Unreachable: "a", Wants: []core.TokenWant{{Upstream: "u", PerSecond: 250, Count: 3}, {Upstream: "v", PerSecond: 0, Count: 1e6}}})
+			So(err, ShouldBeNil)
+			So(reply, ShouldResemble, core.TokenReply{Redirect: "z/a", Grants: []core.TokenGrant{
+				{Upstream: "u", Count: 3, Wait: 250}, {Upstream: "v", Count: core.MaxTokensPerRequest}}})
+		})
+		Convey("a request for tokens with a limit that is not a number is rejected", func() {
+			_, err := f.client.TakeTokens(ctx, f.address, core.TokenRequest{Wants: []core.TokenWant{{Upstream: "u", PerSecond: math.NaN()}}})
+			So(status.Code(errors.Unwrap(err)), ShouldEqual, codes.InvalidArgument)
+		})
 		Convey("an order arrives with its ticket and the time until its deadline", func() {
 			f.handler.answer = core.Answer{Outcome: core.OutcomeAnswered, Result: "booked", Sufficient: true, Attempts: 1, Shards: 1}
 			request := core.Request{ID: "r", Collection: "c", Kind: "k", Key: "key", Body: "b", Deadline: core.NewClock().Now() + core.Second}
