--- a/core/constants.go
+++ b/core/constants.go
@@ -257,7 +257,7 @@
 	// TokenBurstMillis is the time for which a bucket saves up tokens, beyond the first.
 	TokenBurstMillis = 250 * Millis(1)
 	// TokenPrefetchMillis is the mean time between two requests for a token that no request waits
-	// for.
+	// for, unless the token was used.
 	TokenPrefetchMillis = 1 * Second
 	// TokenRetryMillis is how long after a failed request for tokens the next one is sent.
 	TokenRetryMillis = 100 * Millis(1)
--- a/core/limit.go
+++ b/core/limit.go
@@ -78,7 +78,8 @@
 	requested int
 	// blockedUntil is the time before which the coordinator has no further token.
 	blockedUntil Millis
-	// prefetchAt is the time from which a token may be requested that no request waits for.
+	// prefetchAt is the time from which a token may be requested that no request waits for. The
+	// use of a token clears it.
 	prefetchAt Millis
 }
 
@@ -136,6 +137,7 @@
 	}
 	l.tokens = slices.DeleteFunc(l.tokens, func(expires Millis) bool { return expires <= now })
 	l.tokens = l.tokens[1:]
+	l.prefetchAt = 0
 }
 
 // pending returns how many tokens are to be requested or have been.
