--- a/standin/faults/list.go
+++ b/standin/faults/list.go
@@ -252,4 +252,34 @@
 		old: "waiting = g.clock.Since(started)-maxWait >= GateSlackMillis", new: "waiting = g.clock.Since(started) < 0",
 		pkg: "./core", test: "TestGateAfterAStall",
 	},
+	{
+		name: "limitForEachInstance", file: "core/coordinator.go",
+		old: "	return byRank(candidates, \"coordinator\")[0]", new: "	return p.Self",
+		pkg: "./core", test: "TestRequestLimitsUnderFailures",
+	},
+	{
+		name: "limitNeverEnds", file: "core/limit.go",
+		old: "if !l.limited || sentAt < l.statedAt {", new: "if l.limited || !l.limited {",
+		pkg: "./core", test: "TestRequestLimitsChange",
+	},
+	{
+		name: "limitsNotToldToOthers", file: "core/limit.go",
+		old: "	if fact.Stamp <= limit.stamp {", new: "	if fact.Stamp > 0 {",
+		pkg: "./core", test: "TestRestartedInstanceKnowsLimits",
+	},
+	{
+		name: "newBucketIsFull", file: "core/tokenbucket.go",
+		old: "bucket = &tokenBucket{updatedAt: now}", new: "bucket = &tokenBucket{updatedAt: now, tokens: 10}",
+		pkg: "./core", test: "TestNewTokenBucketIsEmpty",
+	},
+	{
+		name: "waitsAtItsLimit", file: "core/token.go",
+		old: "if !blocked || want.WaitUntil == 0 || now+wait < want.WaitUntil {", new: "if true {",
+		pkg: "./core", test: "TestTokensOfFleet",
+	},
+	{
+		name: "unreadableLimitTaken", file: "platform/upstream.go",
+		old: "case len(values) > 1 || !isDecimal(values[0]):", new: "case len(values) > 1:",
+		pkg: "./platform", test: "TestRequestLimitHeader",
+	},
 }
