--- a/standin/faults/list.go
+++ b/standin/faults/list.go
@@ -274,7 +274,7 @@
 	},
 	{
 		name: "waitsAtItsLimit", file: "core/token.go",
-		old: "if !blocked || want.WaitUntil == 0 || now+wait < want.WaitUntil {", new: "if true {",
+		old: "if !blocked || want.WaitUntil == 0 || now+wait < want.WaitUntil {", new: "if !blocked || wait >= 0 {",
 		pkg: "./core", test: "TestTokensOfFleet",
 	},
 	{
