Run TestGateAfterAStall in virtual time

The test advanced its clock between real sleeps; a sleep that took longer than the gate's timer let the timer fire while the clock stood still (3 of 400 runs beside load).

--- a/core/gate_test.go
+++ b/core/gate_test.go
@@ -52,19 +52,21 @@
 // TestGateAfterAStall checks that a request is not refused when its process stalls while it
 // waits: the wait goes on until the answers that arrived during the stall were read.
 func TestGateAfterAStall(t *testing.T) {
-	var now atomic.Int64
-	now.Store(int64(Minute))
-	gate := fullGate(NewClockFrom(func() Millis { return Millis(now.Load()) }))
-	admitted := make(chan bool, 1)
-	go func() { admitted <- gate.Enter(context.Background(), 0, 1, 0) }()
-	// The clock advances much faster than the timers, so that each timer seems to fire late.
-	for range 30 {
-		time.Sleep(time.Millisecond)
-		now.Add(20)
-	}
-	gate.Leave(10, false)
-	gate.Leave(10, false)
-	if !<-admitted {
-		t.Error("refused after a stall")
-	}
+	synctest.Test(t, func(t *testing.T) {
+		var now atomic.Int64
+		now.Store(int64(Minute))
+		gate := fullGate(NewClockFrom(func() Millis { return Millis(now.Load()) }))
+		admitted := make(chan bool, 1)
+		go func() { admitted <- gate.Enter(context.Background(), 0, 1, 0) }()
+		// The clock advances much faster than the timers, so that each timer seems to fire late.
+		for range 30 {
+			time.Sleep(time.Millisecond)
+			now.Add(20)
+		}
+		gate.Leave(10, false)
+		gate.Leave(10, false)
+		if !<-admitted {
+			t.Error("refused after a stall")
+		}
+	})
 }
