--- a/core/publications_test.go
+++ b/core/publications_test.go
@@ -60,7 +60,12 @@
 // startPlatformWatcher runs a PlatformWatcher until the test ends. Its Peers waits up to the
 // given time for other instances before it ends joining.
 func startPlatformWatcher(t *testing.T, join Millis) *platformWatcherFixture {
-	f := &platformWatcherFixture{platform: &countingPlatform{reads: map[string]int{}, services: 2 * MaxServicesWithoutJoining}}
+	return startPlatformWatcherWith(t, join, 2*MaxServicesWithoutJoining)
+}
+
+// startPlatformWatcherWith is startPlatformWatcher with the number of services in the configuration.
+func startPlatformWatcherWith(t *testing.T, join Millis, services int) *platformWatcherFixture {
+	f := &platformWatcherFixture{platform: &countingPlatform{reads: map[string]int{}, services: services}}
 	f.clock = NewClockFrom(func() Millis { return Millis(time.Now().UnixMilli()) })
 	store := NewStore(f.clock, textDecoder{}, NewCounters())
 	f.peers = NewPeers(PeersConfig{
@@ -192,10 +197,7 @@
 		many = append(many, KnownPeer{Info: PeerInfo{Name: name, Zone: "y", Address: name, Incarnation: 1, Capacity: 150}})
 	}
 	synctest.Test(t, func(t *testing.T) {
-		f := startPlatformWatcher(t, join)
-		f.platform.mu.Lock()
-		f.platform.services = MaxServicesWithoutJoining
-		f.platform.mu.Unlock()
+		f := startPlatformWatcherWith(t, join, MaxServicesWithoutJoining)
 		time.Sleep(300 * time.Millisecond)
 		if reads := f.platform.count(KeyInstances); f.peers.Joining() || reads == 0 {
 			t.Errorf("joining %t with few services, %d reads of the list", f.peers.Joining(), reads)
