Check a request again that has waited for a connection

What callers and upstreams saw: an upstream that had begun to leave got a request that waited for a free or new connection to it meanwhile. Found by reading, in the search for the cause of TestResumedInstanceSendsNothingToLeavingUpstream.

Cause: whether an upstream may get requests was checked when the permit was granted, before the wait for a connection: 20 ms after a discarded one, up to 1 s for a new one, and as long as a suspension lasts. Class: a check that is separated from the use that it guards.

Change: if 5 ms or more have passed when the connection is there, the attempt is confirmed: a suspension is dealt with, and the permit is checked again. Otherwise the request is not sent, which is what its failure says, and the connection stays in the pool.

Evidence: TestWaitForConnectionIsConfirmed counts 3 requests at the upstream with the old Exchange where 2 are expected, and 2 with the new one.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -54,6 +54,9 @@
 	Snapshot   uint64
 	Ranges     []KeyRange
 	Deadline   Millis
+	// Confirm is called before the attempt is sent if it had to wait for a connection. It is not
+	// sent if Confirm returns an error. The upstream may have begun to leave meanwhile.
+	Confirm func(ctx context.Context) error
 }
 
 // SearchReply is a complete and verified reply to a SearchAttempt.
@@ -75,6 +78,8 @@
 	// OrderID identifies the order at the upstream.
 	OrderID  string
 	Deadline Millis
+	// Confirm has the same use as in SearchAttempt.
+	Confirm func(ctx context.Context) error
 }
 
 // OrderReply is a complete and verified reply to an OrderAttempt.
@@ -157,6 +162,9 @@
 	return &AttemptError{Kind: FailureLost, Detail: "unclassified", Cause: err}
 }
 
+// ErrNotSendable means that an upstream may get no new requests any more.
+var ErrNotSendable = errors.New("the upstream may get no new requests any more")
+
 // ErrNoFreeConnection means that a request was not sent because all connections to
 // the upstream were in use.
 var ErrNoFreeConnection = errors.New("all connections are in use")
@@ -166,6 +174,8 @@
 	ID       string
 	Message  Message
 	Deadline Millis
+	// Confirm has the same use as in SearchAttempt.
+	Confirm func(ctx context.Context) error
 }
 
 // RoutedClient sends routed requests to upstreams. Its errors are *AttemptError.
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -145,6 +145,7 @@
 		ID:       d.request.ID,
 		Message:  d.request.Message,
 		Deadline: d.deadline,
+		Confirm:  permit.confirm(d.router.Pause),
 	})
 	result := routedResult{permit: permit, reply: reply}
 	permit.RecordLimit(reply.Limit)
--- a/core/orders.go
+++ b/core/orders.go
@@ -326,6 +326,7 @@
 		Body:       r.request.Body,
 		OrderID:    r.orderID,
 		Deadline:   r.admitted.deadline - 2*MergeMarginMillis,
+		Confirm:    permit.confirm(e.Pause),
 	})
 	if err == nil {
 		permit.Succeed(reply.Status)
--- a/core/permit.go
+++ b/core/permit.go
@@ -1,5 +1,7 @@
 package core
 
+import "context"
+
 // Permit allows one request to one upstream. It occupies capacity of the replica
 // until it is released.
 type Permit struct {
@@ -28,6 +30,20 @@
 	return known && current == p.replica && p.replica.routable()
 }
 
+// confirm returns a function that waits until a suspension of the process, if there was one, is
+// dealt with, and then returns ErrNotSendable unless the upstream may still receive new requests.
+func (p *Permit) confirm(pause *PauseGuard) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		if err := pause.Await(ctx); err != nil {
+			return err
+		}
+		if !p.Sendable() {
+			return ErrNotSendable
+		}
+		return nil
+	}
+}
+
 // Succeed records a whole reply and releases the permit.
 func (p *Permit) Succeed(status UpstreamStatus) {
 	f := p.fleet
--- a/core/shard.go
+++ b/core/shard.go
@@ -295,6 +295,7 @@
 		Snapshot:   s.plan.Snapshot.ID,
 		Ranges:     ranges,
 		Deadline:   q.admitted.deadline - 2*MergeMarginMillis,
+		Confirm:    permit.confirm(q.engine.Pause),
 	})
 	result := attemptResult{permit: permit, hedge: hedge, reply: reply}
 	if err != nil {
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -66,7 +66,7 @@
 // Search implements core.UpstreamClient.
 func (c *Client) Search(ctx context.Context, target core.Target, attempt core.SearchAttempt) (core.SearchReply, error) {
 	var reply SearchReply
-	err := c.post(ctx, target, PathSearch, toSearchRequest(attempt, c.clock.Now()), &reply, func() error {
+	err := c.post(ctx, target, PathSearch, toSearchRequest(attempt, c.clock.Now()), attempt.Confirm, &reply, func() error {
 		return checkSearch(attempt, reply)
 	})
 	if err != nil {
@@ -82,7 +82,7 @@
 // Order implements core.UpstreamClient.
 func (c *Client) Order(ctx context.Context, target core.Target, attempt core.OrderAttempt) (core.OrderReply, error) {
 	var reply OrderReply
-	err := c.post(ctx, target, PathOrder, toOrderRequest(attempt, c.clock.Now()), &reply, func() error {
+	err := c.post(ctx, target, PathOrder, toOrderRequest(attempt, c.clock.Now()), attempt.Confirm, &reply, func() error {
 		return checkOrder(attempt, reply)
 	})
 	if err != nil {
@@ -151,9 +151,9 @@
 	return badReply("the reply has no known outcome")
 }
 
-// post sends body as JSON and decodes the response into reply. It fails if check
+// post sends body as JSON, after confirm has allowed it, and decodes the response into reply. It fails if check
 // then returns an error.
-func (c *Client) post(ctx context.Context, target core.Target, path string, body, reply any, check func() error) error {
+func (c *Client) post(ctx context.Context, target core.Target, path string, body any, confirm func(context.Context) error, reply any, check func() error) error {
 	encoded, err := json.Marshal(body)
 	if err != nil {
 		return &core.AttemptError{Kind: core.FailureNotSent, Detail: "encode request", Cause: err}
@@ -164,6 +164,8 @@
 		Host:   target.Address,
 		Fields: []core.Field{{Name: "Content-Type", Value: "application/json"}},
 		Body:   encoded,
+
+		Confirm: confirm,
 	}
 	_, err = c.Exchange(ctx, target, request, nil, func(response Response) error {
 		if err := json.Unmarshal(response.Body, reply); err != nil {
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -243,3 +243,65 @@
 		_ = fromStatus(reply.Status)
 	}
 }
+
+// TestWaitForConnectionIsConfirmed guards against a request that is sent to an upstream that began to
+// leave while the request waited for a connection.
+func TestWaitForConnectionIsConfirmed(t *testing.T) {
+	cases := []struct {
+		name string
+		// held is how long another request holds the only connection.
+		held      time.Duration
+		confirmed error
+		sent      int64
+		want      core.FailureKind
+	}{
+		{"after a wait, the upstream is leaving", 50 * time.Millisecond, core.ErrNotSendable, 2, core.FailureNotSent},
+		{"after a wait, the upstream is in use", 50 * time.Millisecond, nil, 3, ""},
+		{"without a wait, nothing is asked", 0, core.ErrNotSendable, 3, ""},
+	}
+	Convey("A request that is sent", t, func() {
+		for _, tc := range cases {
+			Convey(tc.name, func() {
+				server := newUpstreamServer(func(w http.ResponseWriter, request SearchRequest) {
+					if request.QueryID == "holder" {
+						time.Sleep(tc.held)
+					}
+					_ = json.NewEncoder(w).Encode(validReply(request))
+				})
+				defer server.Close()
+				clock := core.NewClock()
+				client := New(clock, &net.Dialer{}, core.NewCounters())
+				holder := newAttempt(clock)
+				holder.QueryID = "holder"
+				_, err := client.Search(context.Background(), server.target(1), holder)
+				So(err, ShouldBeNil)
+				held := make(chan error, 1)
+				if tc.held > 0 {
+					go func() {
+						_, err := client.Search(context.Background(), server.target(1), holder)
+						held <- err
+					}()
+					time.Sleep(tc.held / 5)
+				} else {
+					_, err := client.Search(context.Background(), server.target(1), holder)
+					held <- err
+				}
+				attempt := newAttempt(clock)
+				attempt.Confirm = func(context.Context) error { return tc.confirmed }
+				_, err = client.Search(context.Background(), server.target(1), attempt)
+				So(<-held, ShouldBeNil)
+				So(server.requests.Load(), ShouldEqual, tc.sent)
+				if tc.want == "" {
+					So(err, ShouldBeNil)
+					return
+				}
+				var failure *core.AttemptError
+				So(errors.As(err, &failure), ShouldBeTrue)
+				So(failure.Kind, ShouldEqual, tc.want)
+				attempt.Confirm = nil
+				_, err = client.Search(context.Background(), server.target(1), attempt)
+				So(err, ShouldBeNil)
+			})
+		}
+	})
+}
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// confirmAfterMillis is the wait for a connection from which on Request.Confirm is called.
+	confirmAfterMillis = 5 * core.Millis(1)
 	// maxForeignReplies is how many replies to other requests are skipped on a
 	// connection before it is closed.
 	maxForeignReplies = 2
@@ -33,6 +35,9 @@
 	Host   string
 	Fields []core.Field
 	Body   []byte
+	// Confirm, if not nil, is called before the request is sent if it had to wait for a
+	// connection. The request is not sent if it returns an error.
+	Confirm func(ctx context.Context) error
 }
 
 // Response is a complete HTTP reply from an upstream.
@@ -75,11 +80,19 @@
 // Errors are *core.AttemptError.
 func (c *Client) Exchange(ctx context.Context, target core.Target, request Request, own func(http.Header) bool, check func(Response) error) (Response, error) {
 	pool := c.poolFor(target)
+	requested := c.clock.Now()
 	pooled, err := pool.acquire(ctx)
 	if err != nil {
 		return Response{}, err
 	}
 	started := c.clock.Now()
+	if started-requested >= confirmAfterMillis && request.Confirm != nil {
+		if err := request.Confirm(ctx); err != nil {
+			pooled.lastUsed = started
+			pool.put(pooled)
+			return Response{}, &core.AttemptError{Kind: core.FailureNotSent, Detail: err.Error()}
+		}
+	}
 	response, keep, err := c.roundTrip(ctx, pooled, request, own)
 	if err == nil {
 		err = check(response)
