Let explain read logs whose shards are a number

On-call engineers saw 'malformed log line' from explain for every request, once an instance had written 'group request failed': that line had the number of shards under the key whose text names shards elsewhere. Class: one key with two types. The reader takes a number there, since old logs have it, and the line now says 'unreported'. TestRequestTimeline failed before: cannot unmarshal number.

--- a/core/scatter.go
+++ b/core/scatter.go
@@ -269,7 +269,7 @@
 	}
 	s.lastFailure = &AttemptError{Kind: FailureLost, Detail: "group at " + group.gatherer.Name, Cause: err}
 	if err != nil && len(group.unreported) > 0 {
-		s.router.logEvent(s.request, "group request failed", "delegate", group.gatherer.Name, "shards", len(group.unreported), "detail", err.Error())
+		s.router.logEvent(s.request, "group request failed", "delegate", group.gatherer.Name, "unreported", len(group.unreported), "detail", err.Error())
 	}
 	queueDeadline := s.router.queueDeadline(s.route, s.deadline)
 	for shard := range group.unreported {
--- a/io/operator/story.go
+++ b/io/operator/story.go
@@ -45,7 +45,19 @@
 	Request  string    `json:"request"`
 	Service  string    `json:"service"`
 	Upstream string    `json:"upstream"`
-	Shards   string    `json:"shards"`
+	Shards   shardList `json:"shards"`
+}
+
+// shardList is the text that names shards. Some lines of former versions have their number there,
+// which names none.
+type shardList string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (s *shardList) UnmarshalJSON(raw []byte) error {
+	if len(raw) == 0 || raw[0] != '"' {
+		return nil
+	}
+	return json.Unmarshal(raw, (*string)(s))
 }
 
 // lineStart is the beginning of each line.
@@ -87,7 +99,7 @@
 	}
 	return LogLine{
 		Time: wire.Time, Message: wire.Message, Instance: wire.Instance, Request: wire.Request,
-		Service: wire.Service, Upstream: wire.Upstream, Shards: wire.Shards, Text: text,
+		Service: wire.Service, Upstream: wire.Upstream, Shards: string(wire.Shards), Text: text,
 	}, nil
 }
 
--- a/io/operator/story_test.go
+++ b/io/operator/story_test.go
@@ -38,6 +38,13 @@
 		So(describe(RequestTimeline(lines, "r2")), ShouldResemble, []string{"instance started n1", "platform lost n1", "refused n1"})
 		So(RequestTimeline(lines, "r3"), ShouldBeEmpty)
 	})
+	Convey("A line whose shards are a number, as in the logs of former versions, is read", t, func() {
+		const line = `{"time":"2026-12-04T08:00:08Z","msg":"group request failed","instance":"n1","request":"r1","shards":17}` + "\n"
+		lines, _, err := ReadLog("log", strings.NewReader(sampleLog+line))
+		So(err, ShouldBeNil)
+		So(lines[len(lines)-1].Shards, ShouldBeEmpty)
+		So(describe(RequestTimeline(lines, "r1")), ShouldContain, "group request failed n1")
+	})
 	Convey("An incomplete last line is skipped", t, func() {
 		lines, truncated, err := ReadLog("log", strings.NewReader(sampleLog[:len(sampleLog)-20]))
 		So(err, ShouldBeNil)
