Don't convict a request by crashes whose verdict has expired

Class: an expiry that some readers of a value check and others don't. All of them now read entries through one function. TestQuarantine failed before: 1 crash after the expiry where 0 are expected, and a request that was not suspected again.

--- a/core/policy_test.go
+++ b/core/policy_test.go
@@ -176,6 +176,28 @@
 			manual.now += VerdictTTLMillis + 1
 			So(q.Verdict("f"), ShouldEqual, VerdictNone)
 		})
+		Convey("a crash does not count after its verdict has expired, in isolated runs or others", func() {
+			for _, peer := range []bool{false, true} {
+				if peer {
+					other := NewQuarantine(manual.clock(), func(fact Fact) { q.Apply(fact) })
+					other.RecordIsolatedCrash("f")
+				} else {
+					q.RecordIsolatedCrash("f")
+				}
+				manual.now += VerdictTTLMillis + 1
+				So(q.Crashes("f"), ShouldEqual, 0)
+				So(q.RecordIsolatedCrash("f"), ShouldEqual, VerdictSuspect)
+				manual.now += VerdictTTLMillis + 1
+				So(q.RecordSharedCrash("f", manual.now-10, manual.now), ShouldEqual, VerdictSuspect)
+				manual.now += VerdictTTLMillis + 1
+			}
+		})
+		Convey("a request is suspected again after its verdict has expired", func() {
+			q.MarkSuspect("f")
+			manual.now += VerdictTTLMillis + 1
+			q.MarkSuspect("f")
+			So(q.Verdict("f"), ShouldEqual, VerdictSuspect)
+		})
 		Convey("an older verdict does not replace a newer one", func() {
 			q.MarkSuspect("f")
 			manual.now += 10
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -51,25 +51,31 @@
 func (q *Quarantine) Verdict(fingerprint string) Verdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	entry, ok := q.verdicts[fingerprint]
-	if !ok || q.clock.Since(entry.at) > VerdictTTLMillis {
-		return VerdictNone
+	return q.entry(fingerprint).verdict
+}
+
+// entry returns the entry of the fingerprint. An entry that has expired counts as none, except that
+// later verdicts are stamped after it. q.mu must be held.
+func (q *Quarantine) entry(fingerprint string) verdictEntry {
+	entry := q.verdicts[fingerprint]
+	if q.clock.Since(entry.at) > VerdictTTLMillis {
+		return verdictEntry{stamp: entry.stamp}
 	}
-	return entry.verdict
+	return entry
 }
 
 // Crashes returns how many crashes of upstreams count against the request.
 func (q *Quarantine) Crashes(fingerprint string) int {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.verdicts[fingerprint].crashes
+	return q.entry(fingerprint).crashes
 }
 
 // MarkSuspect records that connections to upstreams broke while they ran the request. It
 // does nothing if the request is already a suspect or convicted.
 func (q *Quarantine) MarkSuspect(fingerprint string) {
 	q.mu.Lock()
-	entry := q.verdicts[fingerprint]
+	entry := q.entry(fingerprint)
 	if entry.verdict == VerdictSuspect || entry.verdict == VerdictConvicted {
 		q.mu.Unlock()
 		return
@@ -83,8 +89,8 @@
 // no earlier verdict.
 func (q *Quarantine) MarkCleared(fingerprint string) {
 	q.mu.Lock()
-	entry, ok := q.verdicts[fingerprint]
-	if !ok || entry.verdict == VerdictCleared {
+	entry := q.entry(fingerprint)
+	if entry.verdict == VerdictNone || entry.verdict == VerdictCleared {
 		q.mu.Unlock()
 		return
 	}
@@ -106,7 +112,7 @@
 // upstream was lost does not count: a single cause may have crashed both upstreams.
 func (q *Quarantine) RecordSharedCrash(fingerprint string, sent, lostAt Millis) Verdict {
 	q.mu.Lock()
-	entry := q.verdicts[fingerprint]
+	entry := q.entry(fingerprint)
 	if entry.verdict == VerdictConvicted || (entry.crashes > 0 && sent < entry.lostAt) {
 		q.mu.Unlock()
 		return entry.verdict
