Write all queued log lines on close, and count those that are lost

On-call engineers missed the last lines of an instance that stopped: Close wrote one batch of 64 KiB and left the rest of up to 4,096 lines uncounted, a failed write counted as one line, and the line 'log lines dropped' had neither time nor instance, so that explain never showed it.

--- a/cli/entry.go
+++ b/cli/entry.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		return err
 	}
-	output := operator.NewLogWriter(stdout)
+	output := operator.NewLogWriter(stdout, settings.Instance)
 	defer output.Close()
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(settings.MemoryBytes / 100 * heapPercent)
--- a/io/operator/log_test.go
+++ b/io/operator/log_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"io"
 	"strings"
 	"sync"
 	"testing"
@@ -25,10 +26,37 @@
 	return o.buffer.Write(p)
 }
 
+// failingOutput fails the first writes.
+type failingOutput struct {
+	stalledOutput
+	failures int
+}
+
+func (o *failingOutput) Write(p []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.failures > 0 {
+		o.failures--
+		return 0, io.ErrClosedPipe
+	}
+	return o.buffer.Write(p)
+}
+
+func (o *failingOutput) text() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.buffer.String()
+}
+
+// newTestWriter returns a LogWriter of the instance n1.
+func newTestWriter(output io.Writer) *LogWriter {
+	return NewLogWriter(output, "n1")
+}
+
 func TestLogWriter(t *testing.T) {
 	Convey("A stalled output does not block writers, and the number of dropped lines is logged later", t, func() {
 		output := &stalledOutput{release: make(chan struct{})}
-		writer := NewLogWriter(output)
+		writer := newTestWriter(output)
 		const line = "{\"msg\":\"x\"}\n"
 		const maxBuffered = maxQueuedLines + maxBatchBytes/len(line) + 2
 		const lines = 3 * maxBuffered
@@ -51,9 +79,52 @@
 		So(strings.Count(text, `"msg":"x"`)+int(writer.Dropped()), ShouldEqual, lines)
 		So(text, ShouldContainSubstring, `"msg":"log lines dropped"`)
 	})
+	Convey("Close writes all queued lines, however many batches they fill", t, func() {
+		output := &stalledOutput{release: make(chan struct{})}
+		writer := newTestWriter(output)
+		line := "{\"msg\":\"" + strings.Repeat("x", 100) + "\"}\n"
+		const lines = 4000
+		for range lines {
+			_, _ = writer.Write([]byte(line))
+		}
+		close(output.release)
+		writer.Close()
+		So(strings.Count(output.buffer.String(), line), ShouldEqual, lines)
+		So(writer.Dropped(), ShouldEqual, 0)
+	})
+	Convey("Lines that are lost at the end are counted", t, func() {
+		output := &stalledOutput{release: make(chan struct{})}
+		defer close(output.release)
+		writer := newTestWriter(output)
+		for range 10 {
+			_, _ = writer.Write([]byte("a\n"))
+			time.Sleep(time.Millisecond)
+		}
+		writer.Close()
+		So(writer.Dropped(), ShouldBeBetweenOrEqual, 9, 10)
+		before := writer.Dropped()
+		_, _ = writer.Write([]byte("b\n"))
+		So(writer.Dropped(), ShouldEqual, before+1)
+	})
+	Convey("Each line of a batch that can't be written is counted, and the report names the instance", t, func() {
+		output := &failingOutput{failures: 1}
+		writer := newTestWriter(output)
+		_, _ = writer.Write([]byte("a\nb\n"))
+		for writer.Dropped() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		_, _ = writer.Write([]byte("c\n"))
+		writer.Close()
+		So(writer.Dropped(), ShouldEqual, 1)
+		lines, _, err := ReadLog("log", strings.NewReader(strings.TrimPrefix(output.text(), "c\n")))
+		So(err, ShouldBeNil)
+		So(lines, ShouldHaveLength, 1)
+		So(lines[0].Instance, ShouldEqual, "n1")
+		So(time.Since(lines[0].Time), ShouldBeLessThan, time.Minute)
+	})
 	Convey("Close writes the queued lines, and a later write is not an error", t, func() {
 		var output bytes.Buffer
-		writer := NewLogWriter(&output)
+		writer := newTestWriter(&output)
 		_, _ = writer.Write([]byte("a\n"))
 		_, _ = writer.Write([]byte("b\n"))
 		writer.Close()
