Forward orders only to known instances, and prove the address in a ticket

A caller could put any address into a ticket: its proof did not cover the address, and any instance but the home forwarded the order there. So a caller could make instances connect to addresses of its choice and take the answer from there. Class: an unchecked value from outside that decides whom the system talks to. The HMAC now covers the address, so the home refuses a changed ticket as forged, and an order goes to the address at which this instance knows its home. If the home is unknown the outcome is unknown, as with a home that gives no answer; seeds that were not heard from yet count as known. TestTicketBook and TestOrdersAreForwardedToKnownInstances failed before (a changed ticket ran; forwarded to 192.0.2.1:1).

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -218,7 +218,7 @@
 // wireOrders creates the component that runs orders.
 func (i *instance) wireOrders() {
 	home := core.Home{Instance: i.self.Name, Incarnation: i.self.Incarnation}
-	i.orders = core.NewOrders(i.engine, i.peerClient, home, i.self.Address, i.recordFact)
+	i.orders = core.NewOrders(i.engine, i.peerClient, i.peers.KnownAddress, home, i.self.Address, i.recordFact)
 }
 
 // logUpstream logs that an upstream came into use or went out of use.
--- a/core/engine_test.go
+++ b/core/engine_test.go
@@ -313,6 +313,9 @@
 }
 func (noPeers) TakeOver(context.Context, string, BookCopy) error { return ErrPeerUnreachable }
 
+// anyAddress accepts the address in every ticket.
+func anyAddress(_, address string) Option[string] { return Some(address) }
+
 func TestOrders(t *testing.T) {
 	cases := []struct {
 		name     string
@@ -343,7 +346,7 @@
 					}
 					return OrderReply{Result: "booked", Status: liveStatus(1, 1, 2)}, nil
 				}
-				orders := NewOrders(f.engine, noPeers{}, Home{"n", 1}, "a", func(Fact) {})
+				orders := NewOrders(f.engine, noPeers{}, anyAddress, Home{"n", 1}, "a", func(Fact) {})
 				request := Request{ID: "r", Collection: "c", Kind: "order", Key: "k", Arrived: f.engine.Clock.Now()}
 				ticket := orders.Mint()
 				answer := orders.Run(context.Background(), ticket, request)
@@ -359,8 +362,8 @@
 		}
 		Convey("sent to another instance while its home is unreachable has an unknown outcome", func() {
 			f := newEngineFixture()
-			home := NewOrders(f.engine, noPeers{}, Home{"n", 1}, "a", func(Fact) {})
-			other := NewOrders(f.engine, noPeers{}, Home{"m", 1}, "b", func(Fact) {})
+			home := NewOrders(f.engine, noPeers{}, anyAddress, Home{"n", 1}, "a", func(Fact) {})
+			other := NewOrders(f.engine, noPeers{}, anyAddress, Home{"m", 1}, "b", func(Fact) {})
 			request := Request{ID: "r", Collection: "c", Kind: "order", Key: "k", Arrived: f.engine.Clock.Now()}
 			answer := other.Run(context.Background(), home.Mint(), request)
 			So(answer.Outcome, ShouldEqual, OutcomeUnknown)
@@ -369,3 +372,49 @@
 		})
 	})
 }
+
+// recordingPeers is a peer client that records where orders are forwarded to.
+type recordingPeers struct {
+	noPeers
+	forwardedTo []string
+}
+
+func (r *recordingPeers) ForwardOrder(_ context.Context, address string, _ Ticket, request Request) (Answer, error) {
+	r.forwardedTo = append(r.forwardedTo, address)
+	return Answer{RequestID: request.ID, Outcome: OutcomeAnswered}, nil
+}
+
+// TestOrdersAreForwardedToKnownInstances guards against a caller that changes the address in a ticket
+// and makes an instance connect to an address of the caller's choice.
+func TestOrdersAreForwardedToKnownInstances(t *testing.T) {
+	known := func(name, _ string) Option[string] {
+		if name == "m" {
+			return Some("b")
+		}
+		return None[string]()
+	}
+	cases := []struct {
+		name, home, address string
+		forwardedTo         []string
+	}{
+		{"the ticket of a known instance", "m", "b", []string{"b"}},
+		{"a changed address of a known instance", "m", "192.0.2.1:1", []string{"b"}},
+		{"the ticket of an unknown instance", "x", "192.0.2.1:1", nil},
+	}
+	Convey("An order is forwarded", t, func() {
+		for _, tc := range cases {
+			Convey(tc.name, func() {
+				f := newEngineFixture()
+				peers := &recordingPeers{}
+				orders := NewOrders(f.engine, peers, known, Home{"n", 1}, "a", func(Fact) {})
+				ticket := NewTicketBook(f.engine.Clock, Home{tc.home, 1}, tc.address).Mint()
+				answer := orders.Run(context.Background(), ticket, Request{ID: "r", Collection: "c", Kind: "book", Key: "k", Arrived: f.engine.Clock.Now()})
+				So(peers.forwardedTo, ShouldResemble, tc.forwardedTo)
+				if tc.forwardedTo == nil {
+					So(answer.Outcome, ShouldEqual, OutcomeUnknown)
+					So(answer.Reason, ShouldEqual, ReasonHomeLost)
+				}
+			})
+		}
+	})
+}
--- a/core/orders.go
+++ b/core/orders.go
@@ -26,10 +26,13 @@
 // a ticket, and only the home of the ticket runs it. Other instances forward it
 // there.
 type Orders struct {
-	engine  *Engine
-	peers   OrderPeers
-	address string
-	notify  func(Fact)
+	engine *Engine
+	peers  OrderPeers
+	// knownAddress returns the address of the instance with the name, or nothing if this instance
+	// does not know it. address is where the instance is according to the caller.
+	knownAddress func(name, address string) Option[string]
+	address      string
+	notify       func(Fact)
 
 	mu  sync.Mutex
 	own *TicketBook
@@ -57,18 +60,19 @@
 }
 
 // NewOrders returns the Orders of a process that has just started. Its tickets
-// name home and address; notify is called with each take-over of tickets, for
+// name home and address; knownAddress returns the address of a known instance; notify is called with each take-over of tickets, for
 // the facts sent to peers.
-func NewOrders(engine *Engine, peers OrderPeers, home Home, address string, notify func(Fact)) *Orders {
+func NewOrders(engine *Engine, peers OrderPeers, knownAddress func(name, address string) Option[string], home Home, address string, notify func(Fact)) *Orders {
 	return &Orders{
-		engine:     engine,
-		peers:      peers,
-		address:    address,
-		notify:     notify,
-		own:        NewTicketBook(engine.Clock, home, address),
-		adopted:    map[Home]adoptedBook{},
-		moved:      map[Home]movedBook{},
-		handedOver: make(chan struct{}),
+		engine:       engine,
+		peers:        peers,
+		knownAddress: knownAddress,
+		address:      address,
+		notify:       notify,
+		own:          NewTicketBook(engine.Clock, home, address),
+		adopted:      map[Home]adoptedBook{},
+		moved:        map[Home]movedBook{},
+		handedOver:   make(chan struct{}),
 	}
 }
 
@@ -121,8 +125,8 @@
 	o.engine.Counters.Add(CountOrdersForwarded, 1)
 	ctx, cancel := o.engine.Clock.WithDeadline(ctx, answerDeadline(request))
 	defer cancel()
-	address := o.homeAddress(ticket)
-	if address == o.address {
+	address, known := o.homeAddress(ticket).Get()
+	if !known || address == o.address {
 		return homeLost(request)
 	}
 	answer, err := o.peers.ForwardOrder(ctx, address, ticket, request)
@@ -160,14 +164,16 @@
 }
 
 // homeAddress returns where the ticket's book is: at the instance that took it
-// over or else at the address in the ticket.
-func (o *Orders) homeAddress(ticket Ticket) string {
+// over, or else at its home. It returns nothing if the home is unknown, because the
+// address in the ticket comes from the caller.
+func (o *Orders) homeAddress(ticket Ticket) Option[string] {
 	o.mu.Lock()
-	defer o.mu.Unlock()
-	if moved, ok := o.moved[ticket.Home]; ok {
-		return moved.address
+	moved, ok := o.moved[ticket.Home]
+	o.mu.Unlock()
+	if ok {
+		return Some(moved.address)
 	}
-	return ticket.Address
+	return o.knownAddress(ticket.Home.Instance, ticket.Address)
 }
 
 // book returns this process's own or adopted book of the given home, or nil.
--- a/core/peers.go
+++ b/core/peers.go
@@ -356,6 +356,22 @@
 	return alive
 }
 
+// KnownAddress returns the address of the instance with the name. If no such instance was heard of, it
+// returns the given address if it is that of a seed that has not been heard from yet.
+func (p *Peers) KnownAddress(name, address string) Option[string] {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for known, peer := range p.peers {
+		if peer.info.Name == name {
+			return Some(known)
+		}
+	}
+	if peer, ok := p.peers[address]; ok && peer.info.Name == "" {
+		return Some(address)
+	}
+	return None[string]()
+}
+
 // InstanceCount returns the number of known instances: this one and those that were heard
 // from within KnownPeerTTLMillis, directly or through other peers.
 func (p *Peers) InstanceCount() int {
--- a/core/ticket.go
+++ b/core/ticket.go
@@ -29,8 +29,8 @@
 	Expires Millis
 	// Nonce is random and identifies the ticket.
 	Nonce [16]byte
-	// Proof is the HMAC-SHA-256 of the nonce and the expiry time under the home's
-	// secret.
+	// Proof is the HMAC-SHA-256 of the nonce, the expiry time and the address under the
+	// home's secret.
 	Proof [sha256.Size]byte
 }
 
@@ -129,6 +129,7 @@
 	mac := hmac.New(sha256.New, b.secret)
 	mac.Write(ticket.Nonce[:])
 	mac.Write(binary.BigEndian.AppendUint64(nil, uint64(ticket.Expires)))
+	mac.Write([]byte(ticket.Address))
 	return mac.Sum(nil)
 }
 
--- a/core/ticket_test.go
+++ b/core/ticket_test.go
@@ -51,6 +51,12 @@
 			ticket.Expires++
 			So(begin(ticket, "f"), ShouldEqual, TicketForged)
 		})
+		Convey("a ticket with a changed address is forged, also for the instance that takes the book over", func() {
+			changed := ticket
+			changed.Address = "127.0.0.1:7101"
+			So(begin(changed, "f"), ShouldEqual, TicketForged)
+			So(begin(ticket, "f"), ShouldEqual, TicketRun)
+		})
 		Convey("a later incarnation of the same instance does not accept the ticket", func() {
 			later := NewTicketBook(manual.clock(), Home{"n1", 8}, "127.0.0.1:7100")
 			verdict, _ := later.Begin(ticket, "f")
