Tell the coordinator of all instances that could not be reached

Cause: a request named only the last instance that it could not reach, so the next one redirected it to one that had failed before, until the calls were used up. It now names all of them; and tokens expire counted from the call that granted them, not from the first one. TestCoordinatorBesideUnreachableOnes failed before: no coordinator found for zone z0.

--- a/core/constants.go
+++ b/core/constants.go
@@ -264,7 +264,7 @@
 	// TokenCallTimeoutMillis is the timeout of one call for tokens.
 	TokenCallTimeoutMillis = 100 * Millis(1)
 	// MaxTokenCalls is how many instances are asked for the same tokens, one after the other.
-	MaxTokenCalls = 4
+	MaxTokenCalls = 6
 	// MaxTokensPerRequest is the largest number of tokens for one upstream in a request.
 	MaxTokensPerRequest = 64
 	// MinTokenRate is the lowest rate, in tokens a second, at which a bucket is filled. With a
--- a/core/coordinator.go
+++ b/core/coordinator.go
@@ -16,14 +16,14 @@
 // order, of the instances there that send requests to upstreams: if an instance can reach the
 // upstreams of a zone, it can usually reach its instances, too. If none of them can be reached, it
 // is the first of all such instances.
-func (p *Peers) Coordinator(zone, unreachable string) PeerInfo {
+func (p *Peers) Coordinator(zone string, unreachable []string) PeerInfo {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	senders := p.currentSenders().reachable
-	candidates := withoutAddress(senders[zone], unreachable)
+	candidates := withoutAddresses(senders[zone], unreachable)
 	if len(candidates) == 0 {
 		for _, others := range senders {
-			candidates = append(candidates, withoutAddress(others, unreachable)...)
+			candidates = append(candidates, withoutAddresses(others, unreachable)...)
 		}
 	}
 	if len(candidates) == 0 {
@@ -32,9 +32,9 @@
 	return byRank(candidates, "coordinator")[0]
 }
 
-// withoutAddress returns the instances except the one with the address.
-func withoutAddress(instances []PeerInfo, address string) []PeerInfo {
-	return slices.DeleteFunc(slices.Clone(instances), func(instance PeerInfo) bool { return instance.Address == address })
+// withoutAddresses returns the instances except those with the addresses.
+func withoutAddresses(instances []PeerInfo, addresses []string) []PeerInfo {
+	return slices.DeleteFunc(slices.Clone(instances), func(instance PeerInfo) bool { return slices.Contains(addresses, instance.Address) })
 }
 
 // CoordinatorShare implements CoordinatorSelector. While some of the instances can't be reached,
--- a/core/limitfleet_test.go
+++ b/core/limitfleet_test.go
@@ -466,3 +466,29 @@
 		l.stopAll()
 	})
 }
+
+// TestCoordinatorBesideUnreachableOnes guards against instances that get no tokens while several
+// instances that would be preferred as coordinator can't be reached, but the others do not know that
+// yet.
+func TestCoordinatorBesideUnreachableOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newLimitFleet(12)
+		l.run(10, 10*Second)
+		asker := l.instances[1]
+		senders := byRank(asker.peers.currentSenders().reachable["z0"], "coordinator")
+		if len(senders) != 4 {
+			t.Fatalf("%d instances in zone z0, want 4", len(senders))
+		}
+		for _, unreachable := range senders[:3] {
+			l.mu.Lock()
+			delete(l.byAddress, unreachable.Address)
+			l.mu.Unlock()
+		}
+		grants, _, err := asker.tokens.request(context.Background(), TokenRequest{
+			Zone: "z0", Wants: []TokenWant{{Upstream: "u0", PerSecond: 4, Count: 1}}})
+		if err != nil || len(grants) != 1 {
+			t.Errorf("grants %v, error %v", grants, err)
+		}
+		l.stopAll()
+	})
+}
--- a/core/token.go
+++ b/core/token.go
@@ -18,9 +18,9 @@
 // allows one request to an upstream that has a request limit.
 type TokenRequest struct {
 	Zone string
-	// Unreachable is the address of an instance that the sender could not reach, or empty. The
-	// receiver acts as coordinator if only this instance would be preferred to it.
-	Unreachable string
+	// Unreachable holds the addresses of instances that the sender could not reach. The receiver
+	// acts as coordinator if only these would be preferred to it.
+	Unreachable []string
 	Wants       []TokenWant
 }
 
--- a/core/tokenkeeper.go
+++ b/core/tokenkeeper.go
@@ -16,8 +16,8 @@
 // CoordinatorSelector selects the instances that grant tokens.
 type CoordinatorSelector interface {
 	// Coordinator returns the instance that grants the tokens for the upstreams of a zone, as far
-	// as this instance knows. It is not the one with the address unreachable.
-	Coordinator(zone, unreachable string) PeerInfo
+	// as this instance knows. It is none of those with the addresses unreachable.
+	Coordinator(zone string, unreachable []string) PeerInfo
 	// CoordinatorShare returns the part of the limit of each upstream in the zone, from 0 to 1, that
 	// this instance may grant as its coordinator.
 	CoordinatorShare(zone string) float64
@@ -95,9 +95,8 @@
 
 // fetch requests tokens from the coordinator of the zone and passes them to the fleet.
 func (k *TokenKeeper) fetch(ctx context.Context, zone string, wants []TokenWant) {
-	sentAt := k.Clock.Now()
 	k.Counters.Add(CountTokenRequests, 1)
-	grants, err := k.request(ctx, TokenRequest{Zone: zone, Wants: wants})
+	grants, sentAt, err := k.request(ctx, TokenRequest{Zone: zone, Wants: wants})
 	if err != nil && ctx.Err() == nil {
 		k.Counters.Add(CountTokenFailures, 1)
 		k.Log.Info("tokens not received", "zone", zone, "upstreams", len(wants), "error", err.Error())
@@ -107,36 +106,33 @@
 
 // request sends the request to the coordinator that this instance knows, and then to the one that
 // this instance redirects to, if any. If an instance can't be reached, the next one is asked to act
-// in its place.
-func (k *TokenKeeper) request(ctx context.Context, request TokenRequest) ([]TokenGrant, error) {
-	address := k.Peers.Coordinator(request.Zone, "").Address
+// in its place. request returns the grants and when the instance that granted them was asked.
+func (k *TokenKeeper) request(ctx context.Context, request TokenRequest) ([]TokenGrant, Millis, error) {
+	address := k.Peers.Coordinator(request.Zone, nil).Address
 	for range MaxTokenCalls {
-		if address == k.Self {
-			reply := k.Grant(request)
-			if reply.Redirect == "" {
-				return reply.Grants, nil
-			}
-			address = reply.Redirect
-			continue
-		}
-		reply, err := k.call(ctx, address, request)
+		sentAt := k.Clock.Now()
+		reply, err := k.ask(ctx, address, request)
 		switch {
 		case ctx.Err() != nil:
-			return nil, ctx.Err()
+			return nil, sentAt, ctx.Err()
 		case err != nil:
 			k.Peers.DelegateFailed(address, err)
-			request.Unreachable = address
-			address = k.Peers.Coordinator(request.Zone, address).Address
+			request.Unreachable = append(request.Unreachable, address)
+			address = k.Peers.Coordinator(request.Zone, request.Unreachable).Address
 		case reply.Redirect == "":
-			return reply.Grants, nil
+			return reply.Grants, sentAt, nil
 		default:
 			address = reply.Redirect
 		}
 	}
-	return nil, fmt.Errorf("%w for zone %s", errNoCoordinator, request.Zone)
+	return nil, k.Clock.Now(), fmt.Errorf("%w for zone %s", errNoCoordinator, request.Zone)
 }
 
-func (k *TokenKeeper) call(ctx context.Context, address string, request TokenRequest) (TokenReply, error) {
+// ask passes the request to the instance at the address, which may be this one.
+func (k *TokenKeeper) ask(ctx context.Context, address string, request TokenRequest) (TokenReply, error) {
+	if address == k.Self {
+		return k.Grant(request), nil
+	}
 	limited, cancel := k.Clock.WithDeadline(ctx, k.Clock.Now()+TokenCallTimeoutMillis)
 	defer cancel()
 	return k.Client.TakeTokens(limited, address, request)
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"math"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -74,9 +75,9 @@
 func (f *fakeHandler) Adopt(book core.BookCopy) { f.book = book }
 func (f *fakeHandler) Leaving() bool            { return f.leaving }
 
-// GrantTokens grants all tokens and names the zone and the unreachable instance as redirect.
+// GrantTokens grants all tokens and names the zone and the unreachable instances as redirect.
 func (f *fakeHandler) GrantTokens(request core.TokenRequest) core.TokenReply {
-	reply := core.TokenReply{Redirect: request.Zone + "/" + request.Unreachable}
+	reply := core.TokenReply{Redirect: request.Zone + "/" + strings.Join(request.Unreachable, "/")}
 	for _, want := range request.Wants {
 		reply.Grants = append(reply.Grants, core.TokenGrant{Upstream: want.Upstream, Count: want.Count, Wait: core.Millis(want.PerSecond)})
 	}
@@ -146,9 +147,9 @@
 		})
 		Convey("tokens are requested and granted", func() {
 			reply, err := f.client.TakeTokens(ctx, f.address, core.TokenRequest{
-				Zone: "z", Unreachable: "a", Wants: []core.TokenWant{{Upstream: "u", PerSecond: 250, Count: 3}, {Upstream: "v", PerSecond: 0, Count: 1e6}}})
+				Zone: "z", Unreachable: []string{"a", "b"}, Wants: []core.TokenWant{{Upstream: "u", PerSecond: 250, Count: 3}, {Upstream: "v", PerSecond: 0, Count: 1e6}}})
 			So(err, ShouldBeNil)
-			So(reply, ShouldResemble, core.TokenReply{Redirect: "z/a", Grants: []core.TokenGrant{
+			So(reply, ShouldResemble, core.TokenReply{Redirect: "z/a/b", Grants: []core.TokenGrant{
 				{Upstream: "u", Count: 3, Wait: 250}, {Upstream: "v", Count: core.MaxTokensPerRequest}}})
 		})
 		Convey("a request for tokens with a limit that is not a number is rejected", func() {
