--- a/io/operator/story.go
+++ b/io/operator/story.go
@@ -107,7 +107,7 @@
 // on which the instance's requests depend.
 var dependencyMessages = []string{
 	"platform lost", "platform regained", "readiness changed", "configuration in force", "instance started",
-	"settings reloaded", "log lines dropped",
+	"settings reloaded", "log lines dropped", "tokens not received",
 }
 
 // RequestTimeline returns the lines about a request in order of time. It includes the lines
--- a/io/operator/story_test.go
+++ b/io/operator/story_test.go
@@ -38,6 +38,15 @@
 		So(describe(RequestTimeline(lines, "r2")), ShouldResemble, []string{"instance started n1", "platform lost n1", "refused n1"})
 		So(RequestTimeline(lines, "r3"), ShouldBeEmpty)
 	})
+	Convey("A refusal because of request limits comes with the limits and with tokens that were not received", t, func() {
+		const log = `{"time":"2026-12-04T08:00:01Z","msg":"upstream limited","instance":"n1","upstream":"u1","service":"s1","limitPerSecond":4}
+{"time":"2026-12-04T08:00:02Z","msg":"tokens not received","instance":"n1","zone":"z","upstreams":2}
+{"time":"2026-12-04T08:00:03Z","msg":"refused","instance":"n1","request":"r1","service":"s1","reason":"overloaded"}
+`
+		lines, _, err := ReadLog("log", strings.NewReader(log))
+		So(err, ShouldBeNil)
+		So(RequestTimeline(lines, "r1"), ShouldHaveLength, 3)
+	})
 	Convey("A line whose shards are a number, as in the logs of former versions, is read", t, func() {
 		const line = `{"time":"2026-12-04T08:00:08Z","msg":"group request failed","instance":"n1","request":"r1","shards":17}` + "\n"
 		lines, _, err := ReadLog("log", strings.NewReader(sampleLog+line))
