--- a/core/limit.go
+++ b/core/limit.go
@@ -83,10 +83,10 @@
 	prefetchAt Millis
 }
 
-// state applies a statement of the upstream in a reply to a request sent at sentAt, and reports
+// apply applies a statement of the upstream in a reply to a request sent at sentAt, and reports
 // whether it changed the limit. A limit ends with a reply without one, unless the request was
 // sent before the limit was last named.
-func (l *upstreamLimit) state(statement LimitStatement, sentAt, now Millis) bool {
+func (l *upstreamLimit) apply(statement LimitStatement, sentAt, now Millis) bool {
 	switch statement.Kind {
 	case LimitNamed:
 		changed := !l.limited || l.perSecond != statement.PerSecond
@@ -108,8 +108,8 @@
 	l.tokens, l.wanted, l.blockedUntil = nil, 0, 0
 }
 
-// begin removes the limit of an earlier incarnation.
-func (l *upstreamLimit) begin(incarnation uint64) {
+// resetFor removes the limit of an earlier incarnation.
+func (l *upstreamLimit) resetFor(incarnation uint64) {
 	if incarnation > l.incarnation {
 		l.end()
 		l.incarnation = incarnation
@@ -178,7 +178,7 @@
 	f.mu.Lock()
 	now := f.clock.Now()
 	limit := r.requestLimit
-	changed := limit.state(statement, sentAt, now)
+	changed := limit.apply(statement, sentAt, now)
 	if changed {
 		f.reportLimit(r, sourceUpstream)
 	}
@@ -210,12 +210,12 @@
 	if fact.Incarnation < limit.incarnation {
 		return
 	}
-	limit.begin(fact.Incarnation)
+	limit.resetFor(fact.Incarnation)
 	statement := LimitStatement{Kind: LimitNone}
 	if fact.Limited {
 		statement = LimitStatement{Kind: LimitNamed, PerSecond: fact.LimitPerSecond}
 	}
-	if r, ok := f.replicas[fact.Subject]; limit.state(statement, now, now) && ok {
+	if r, ok := f.replicas[fact.Subject]; limit.apply(statement, now, now) && ok {
 		f.reportLimit(r, "peer")
 		f.regrant(r.service)
 	}
--- a/core/limit_test.go
+++ b/core/limit_test.go
@@ -32,7 +32,7 @@
 		for _, tc := range cases {
 			Convey(tc.name, func() {
 				limit := &upstreamLimit{limited: tc.limited, perSecond: 4, statedAt: 1000}
-				So(limit.state(tc.statement, tc.sentAt, 1300), ShouldEqual, tc.changed)
+				So(limit.apply(tc.statement, tc.sentAt, 1300), ShouldEqual, tc.changed)
 				So(limit.limited, ShouldEqual, tc.limitedAfter)
 			})
 		}
--- a/core/replica.go
+++ b/core/replica.go
@@ -126,7 +126,7 @@
 	r.failures = 0
 	r.ejections = 0
 	r.ejectedUntil = 0
-	r.requestLimit.begin(incarnation)
+	r.requestLimit.resetFor(incarnation)
 	r.restartedAt = now
 }
 
