--- a/core/limitfleet_test.go
+++ b/core/limitfleet_test.go
@@ -475,7 +475,9 @@
 		l := newLimitFleet(12)
 		l.run(10, 10*Second)
 		asker := l.instances[1]
+		asker.peers.mu.Lock()
 		senders := byRank(asker.peers.currentSenders().reachable["z0"], "coordinator")
+		asker.peers.mu.Unlock()
 		if len(senders) != 4 {
 			t.Fatalf("%d instances in zone z0, want 4", len(senders))
 		}
