--- a/standin/faults/list.go
+++ b/standin/faults/list.go
@@ -158,7 +158,7 @@
 		pkg: "./platform", test: "TestReplies",
 	},
 	{
-		name: "unlistedUsedAlways", file: "core/fleet.go",
+		name: "unlistedUsedAlways", file: "core/selection.go",
 		old: "return !r.upstream.Unlisted", new: "return true",
 		pkg: "./core", test: "TestUnlistedUpstreams",
 	},
