Split two functions of the request limits; take the time of a log line from the clock

recordLimit applied a statement, reported it and built a fact, and AddTokens matched grants and added them: each is two functions now. LogWriter reads the project's clock. No behaviour changes, but that waiters are no longer granted again when a fact is only repeated.

--- a/cli/entry.go
+++ b/cli/entry.go
@@ -18,6 +18,7 @@
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
 
+	"acaciavane/core"
 	"acaciavane/io/caller"
 	"acaciavane/io/operator"
 	"acaciavane/io/peer"
@@ -72,7 +73,7 @@
 	if err != nil {
 		return err
 	}
-	output := operator.NewLogWriter(stdout, settings.Instance)
+	output := operator.NewLogWriter(core.NewClock(), stdout, settings.Instance)
 	defer output.Close()
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(settings.MemoryBytes / 100 * heapPercent)
--- a/core/limit.go
+++ b/core/limit.go
@@ -116,6 +116,17 @@
 	}
 }
 
+// nextFact returns a fact about the limit that replaces all earlier ones. name is the name of the
+// upstream.
+func (l *upstreamLimit) nextFact(name string, now Millis) Fact {
+	l.stamp++
+	l.stampedAt = now
+	return Fact{
+		Kind: FactUpstreamLimit, Subject: name, Stamp: l.stamp,
+		Incarnation: l.incarnation, Limited: l.limited, LimitPerSecond: l.perSecond,
+	}
+}
+
 // value returns the limit in requests a second, or nothing if there is none.
 func (l *upstreamLimit) value() Option[float64] {
 	if !l.limited {
@@ -172,29 +183,32 @@
 	}
 }
 
-// recordLimit applies the statement of a reply to a request sent at sentAt. It notifies the other
-// instances of a change, and again before they forget it.
+// recordLimit applies the statement of a reply to a request sent at sentAt, and notifies the other
+// instances if they need to know.
 func (f *Fleet) recordLimit(r *replica, statement LimitStatement, sentAt Millis) {
 	f.mu.Lock()
+	fact, publish := f.applyStatement(r, statement, sentAt).Get()
+	f.mu.Unlock()
+	if publish {
+		f.notify(fact)
+	}
+}
+
+// applyStatement applies the statement of a reply to a request sent at sentAt. It returns a fact to
+// publish if the limit changed, or if the last fact about it is to be repeated before it expires.
+// f.mu must be held.
+func (f *Fleet) applyStatement(r *replica, statement LimitStatement, sentAt Millis) Option[Fact] {
 	now := f.clock.Now()
 	limit := r.requestLimit
 	changed := limit.apply(statement, sentAt, now)
 	if changed {
 		f.reportLimit(r, sourceUpstream)
+		f.regrant(r.service)
 	}
 	if !changed && (!limit.limited || now-limit.stampedAt < FactTTLMillis/2) {
-		f.mu.Unlock()
-		return
-	}
-	limit.stamp++
-	limit.stampedAt = now
-	fact := Fact{
-		Kind: FactUpstreamLimit, Subject: r.upstream.Name, Stamp: limit.stamp,
-		Incarnation: limit.incarnation, Limited: limit.limited, LimitPerSecond: limit.perSecond,
+		return None[Fact]()
 	}
-	f.regrant(r.service)
-	f.mu.Unlock()
-	f.notify(fact)
+	return Some(limit.nextFact(r.upstream.Name, now))
 }
 
 // ApplyLimit applies a fact about the request limit of an upstream, which may be unknown yet.
--- a/core/token.go
+++ b/core/token.go
@@ -173,30 +173,35 @@
 func (f *Fleet) AddTokens(wants []TokenWant, grants []TokenGrant, sentAt Millis) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	now := f.clock.Now()
 	for _, want := range wants {
-		limit := f.limitOf(want.Upstream)
-		limit.requested = 0
 		grant, answered := find(grants, func(g TokenGrant) bool { return g.Upstream == want.Upstream })
 		if !answered {
-			grant.Wait = TokenRetryMillis
-		}
-		if !limit.limited {
-			continue
-		}
-		for range min(grant.Count, want.Count) {
-			limit.tokens = append(limit.tokens, sentAt+TokenTTLMillis)
-		}
-		if grant.Count < want.Count {
-			limit.blockedUntil = now + max(1, grant.Wait)
-			f.retryWhenOpen(want.Upstream, grant.Wait)
+			grant = TokenGrant{Wait: TokenRetryMillis}
 		}
+		f.addGrant(want, grant, sentAt)
 	}
 	for _, service := range f.servicesOf(wants) {
 		f.regrant(service)
 	}
 }
 
+// addGrant adds the tokens granted for one upstream. If there are fewer than wanted, the upstream is
+// blocked until there is another one. f.mu must be held.
+func (f *Fleet) addGrant(want TokenWant, grant TokenGrant, sentAt Millis) {
+	limit := f.limitOf(want.Upstream)
+	limit.requested = 0
+	if !limit.limited {
+		return
+	}
+	for range min(grant.Count, want.Count) {
+		limit.tokens = append(limit.tokens, sentAt+TokenTTLMillis)
+	}
+	if grant.Count < want.Count {
+		limit.blockedUntil = f.clock.Now() + max(1, grant.Wait)
+		f.retryWhenOpen(want.Upstream, grant.Wait)
+	}
+}
+
 // retryWhenOpen gives permits to the waiters of an upstream's service after the wait. f.mu must be
 // held.
 func (f *Fleet) retryWhenOpen(name string, wait Millis) {
--- a/io/operator/bench_test.go
+++ b/io/operator/bench_test.go
@@ -3,12 +3,14 @@
 import (
 	"io"
 	"testing"
+
+	"acaciavane/core"
 )
 
 // BenchmarkLogLine measures the cost of a log line about a request: of a line that is
 // written, and of one below the current log level.
 func BenchmarkLogLine(b *testing.B) {
-	output := NewLogWriter(io.Discard, "n1")
+	output := NewLogWriter(core.NewClock(), io.Discard, "n1")
 	defer output.Close()
 	log, _, err := NewLog(output, "n1", "info")
 	if err != nil {
--- a/io/operator/log_test.go
+++ b/io/operator/log_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"acaciavane/core"
 )
 
 // stalledOutput is an output whose Write blocks until release is closed.
@@ -50,7 +52,7 @@
 
 // newTestWriter returns a LogWriter of the instance n1.
 func newTestWriter(output io.Writer) *LogWriter {
-	return NewLogWriter(output, "n1")
+	return NewLogWriter(core.NewClock(), output, "n1")
 }
 
 func TestLogWriter(t *testing.T) {
--- a/io/operator/logwriter.go
+++ b/io/operator/logwriter.go
@@ -6,6 +6,8 @@
 	"io"
 	"sync/atomic"
 	"time"
+
+	"acaciavane/core"
 )
 
 const (
@@ -21,6 +23,7 @@
 // LogWriter writes lines to an output in a goroutine of its own, so that Write never
 // blocks.
 type LogWriter struct {
+	clock    core.Clock
 	output   io.Writer
 	instance string
 	lines    chan []byte
@@ -35,8 +38,8 @@
 }
 
 // NewLogWriter returns a writer for the log of an instance to the output and starts its goroutine.
-func NewLogWriter(output io.Writer, instance string) *LogWriter {
-	w := &LogWriter{output: output, instance: instance, lines: make(chan []byte, maxQueuedLines),
+func NewLogWriter(clock core.Clock, output io.Writer, instance string) *LogWriter {
+	w := &LogWriter{clock: clock, output: output, instance: instance, lines: make(chan []byte, maxQueuedLines),
 		stop: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
@@ -119,7 +122,7 @@
 		Message  string    `json:"msg"`
 		Instance string    `json:"instance"`
 		Total    int64     `json:"total"`
-	}{time.Now(), "WARN", "log lines dropped", w.instance, total})
+	}{time.UnixMilli(int64(w.clock.Now())), "WARN", "log lines dropped", w.instance, total})
 	if err != nil {
 		return nil
 	}
