--- a/core/limit_test.go
+++ b/core/limit_test.go
@@ -153,6 +153,33 @@
 			_, err := f.acquire(Want{NoWait: true, Exclude: NewSet("u1")})
 			So(err, ShouldBeNil)
 		})
+		Convey("a used token is replaced at once, so that a high limit is used although others have room", func() {
+			limitUpstreams("u0")
+			for range 3 {
+				elsewhere, err := f.acquire(Want{NoWait: true})
+				So(err, ShouldBeNil)
+				elsewhere.Release()
+				So(f.fleet.TakeTokenWants(always), ShouldNotBeEmpty)
+				grant("u0", 1, 250)
+				limited, err := f.acquire(Want{NoWait: true, Exclude: NewSet("u1")})
+				So(err, ShouldBeNil)
+				limited.Release()
+				f.clock.now += 250
+			}
+		})
+		Convey("requests that do not wait ask for no more tokens than are prefetched", func() {
+			limitUpstreams("u0", "u1")
+			for range 3 {
+				_, err := f.acquire(Want{NoWait: true})
+				So(err, ShouldEqual, ErrNoReplica)
+			}
+			So(f.fleet.TakeTokenWants(always), ShouldHaveLength, 1)
+			grant("u0", 0, 10)
+			f.clock.now += 20
+			_, err := f.acquire(Want{NoWait: true})
+			So(err, ShouldEqual, ErrNoReplica)
+			So(f.fleet.TakeTokenWants(always), ShouldBeEmpty)
+		})
 		Convey("a probe needs a token, too", func() {
 			limitUpstreams("u0")
 			So(f.fleet.AdmitProbe("u0"), ShouldBeFalse)
