Grant a quarter of the rate in place of a coordinator that others still reach

What an upstream would see: up to 485 requests in 4 s where 365 are allowed (limit 60), 48 where 41 are (limit 6), while a coordinator is too slow for some instances and not for others. Cause: the next one that is asked in its place granted the whole rate, while the slow one went on to do so for the rest. Class: two owners of one budget while views differ. This was filed as suspected by reading; the simulation now has a coordinator of each zone in turn answer every second instance 150 ms late, and fails without the change.

Change: an instance grants no more than a quarter of the rate while one that is preferred to it was heard from within 3 s, directly or through others. Both together then stay below one and a half times the limit; after a real loss of the coordinator its successor grants the whole rate 3 s later.

--- a/core/constants.go
+++ b/core/constants.go
@@ -265,6 +265,9 @@
 	TokenCallTimeoutMillis = 100 * Millis(1)
 	// MaxTokenCalls is how many instances are asked for the same tokens, one after the other.
 	MaxTokenCalls = 6
+	// SubstituteShare is the largest part of a limit that an instance grants in place of one that
+	// probably grants tokens to others. Both together stay below one and a half times the limit.
+	SubstituteShare = 0.25
 	// MaxTokensPerRequest is the largest number of tokens for one upstream in a request.
 	MaxTokensPerRequest = 64
 	// MinTokenRate is the lowest rate, in tokens a second, at which a bucket is filled. With a
--- a/core/coordinator.go
+++ b/core/coordinator.go
@@ -40,22 +40,44 @@
 // CoordinatorShare implements CoordinatorSelector. While some of the instances can't be reached,
 // they may have a coordinator of their own, and each of the coordinators grants the share of the
 // instances that it can reach. For a zone other than this instance's own, these are the instances
-// of all zones.
+// of all zones. While an instance that is preferred to this one was heard from of late, it probably
+// grants tokens to others, and this instance grants no more than SubstituteShare.
 func (p *Peers) CoordinatorShare(zone string) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	count := func(senders map[string][]PeerInfo) int {
-		if zone == p.Self.Zone {
-			return max(1, len(senders[zone]))
+	view := p.currentSenders()
+	reachable, known := flatten(view.reachable), flatten(view.known)
+	if zone == p.Self.Zone {
+		reachable, known = view.reachable[zone], view.known[zone]
+	}
+	share := min(1, float64(max(1, len(reachable)))/float64(max(1, len(known))))
+	if p.preferredHeard(view.known[zone]) {
+		share = min(share, SubstituteShare)
+	}
+	return share
+}
+
+// preferredHeard reports whether one of the instances that are preferred to this one as coordinator
+// was heard from within PeerAliveMillis, directly or through others. The caller holds the lock.
+func (p *Peers) preferredHeard(candidates []PeerInfo) bool {
+	for _, instance := range byRank(candidates, "coordinator") {
+		if instance.Address == p.Self.Address {
+			return false
 		}
-		total := 0
-		for _, others := range senders {
-			total += len(others)
+		if peer, ok := p.peers[instance.Address]; ok && p.Clock.Since(peer.heardAt) <= PeerAliveMillis {
+			return true
 		}
-		return max(1, total)
 	}
-	view := p.currentSenders()
-	return min(1, float64(count(view.reachable))/float64(count(view.known)))
+	return false
+}
+
+// flatten returns the instances of all zones.
+func flatten(zones map[string][]PeerInfo) []PeerInfo {
+	var all []PeerInfo
+	for _, instances := range zones {
+		all = append(all, instances...)
+	}
+	return all
 }
 
 // currentSenders returns the view of the senders. The caller holds the lock.
--- a/core/limitfleet_test.go
+++ b/core/limitfleet_test.go
@@ -46,6 +46,9 @@
 	// that can reach only each other.
 	cut  Set[string]
 	half Set[string]
+	// slow is the address of an instance whose replies to every second instance take 150 ms, or
+	// empty.
+	slow string
 	// statements is what each upstream states now. arrivals holds the times of its requests.
 	statements map[string]LimitStatement
 	arrivals   map[string][]Millis
@@ -154,6 +157,17 @@
 	return a != b && (l.cut.Has(a) || l.cut.Has(b) || l.half.Has(a) != l.half.Has(b))
 }
 
+// slowCoordinators makes the coordinator of each zone in turn too slow for every second instance.
+func (l *limitFleet) slowCoordinators() {
+	for zone := range 3 {
+		coordinator := l.instances[0].peers.Coordinator(fmt.Sprintf("z%d", zone), nil)
+		l.mu.Lock()
+		l.slow = coordinator.Address
+		l.mu.Unlock()
+		_ = l.clock.Sleep(context.Background(), 6*Second)
+	}
+}
+
 // limitNetwork is the PeerClient and TokenClient of one instance.
 type limitNetwork struct {
 	fleet *limitFleet
@@ -162,11 +176,19 @@
 
 // reach returns the instance at the address. An instance that is cut off is silent.
 func (n limitNetwork) reach(ctx context.Context, address string) (*limitInstance, error) {
-	time.Sleep(time.Millisecond)
 	n.fleet.mu.Lock()
 	target, running := n.fleet.byAddress[address]
 	silent := n.fleet.separated(address, n.from)
+	delay := time.Millisecond
+	if address == n.fleet.slow && n.from[len(n.from)-1]%2 == 1 {
+		delay = 150 * time.Millisecond
+	}
 	n.fleet.mu.Unlock()
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
 	if silent {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -365,6 +387,8 @@
 			_ = l.clock.Sleep(context.Background(), 12*Second)
 			l.split()
 		}},
+		{"coordinators that answer only some instances in time", 9, 6, 40, 0.5, (*limitFleet).slowCoordinators},
+		{"coordinators that answer only some instances in time, with a high limit", 9, 60, 400, 0.5, (*limitFleet).slowCoordinators},
 		{"instances that are killed and don't return", 9, 4, 30, 0.4, func(l *limitFleet) {
 			for number := range 3 {
 				l.kill(number)
