--- a/review/lab/instance.go
+++ b/review/lab/instance.go
@@ -72,6 +72,9 @@
 		if err := os.WriteFile(i.settings, raw, 0o600); err != nil {
 			return nil, err
 		}
+		if n > 0 {
+			time.Sleep(l.startGap)
+		}
 		if err := i.start(); err != nil {
 			return nil, err
 		}
--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -27,6 +27,8 @@
 	configApply time.Duration
 	// shares holds the processor shares of the machines, 0.4 where there is none.
 	shares []float64
+	// startGap is the time between the starts of two machines.
+	startGap time.Duration
 
 	mu        sync.Mutex
 	record    *os.File
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -59,14 +60,45 @@
 		return nil, err
 	}
 	s := &store{listener: listener, revision: 100, items: map[string]storeItem{}, changed: make(chan struct{})}
+	go func() { _ = http.Serve(listener, s.handler()) }()
+	return s, nil
+}
+
+func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /kv-key", s.key)
 	mux.HandleFunc("GET /kv-range", s.list)
 	mux.HandleFunc("GET /kv-watch", s.watch)
-	go func() { _ = http.Serve(listener, mux) }()
-	return s, nil
+	return mux
 }
 
+// gate is an address of the store for one machine, which the store turns away at times.
+type gate struct {
+	listener net.Listener
+	closed   atomic.Bool
+}
+
+func (s *store) newGate() (*gate, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	g := &gate{listener: listener}
+	store := s.handler()
+	go func() {
+		_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if g.closed.Load() {
+				reply(w, http.StatusServiceUnavailable, map[string]any{})
+				return
+			}
+			store.ServeHTTP(w, r)
+		}))
+	}()
+	return g, nil
+}
+
+func (g *gate) address() string { return g.listener.Addr().String() }
+
 func (s *store) address() string { return s.listener.Addr().String() }
 
 // put writes a value, or removes the key if value is nil. It returns once this is
