--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -89,6 +89,12 @@
 	fmt.Printf(format+"\n", values...)
 }
 
+// troubled reports whether a disruption that lasts for the given time and comes again after a
+// pause is on now.
+func (l *lab) troubled(lasts, pause time.Duration) bool {
+	return l.trouble && time.Since(l.started)%(lasts+pause) < lasts
+}
+
 // path returns a path in the temporary folder.
 func (l *lab) path(name string) string { return filepath.Join(l.folder, name) }
 
--- a/review/lab/store.go
+++ b/review/lab/store.go
@@ -88,7 +88,7 @@
 	go func() {
 		_ = http.Serve(listener, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if g.closed.Load() {
-				reply(w, http.StatusServiceUnavailable, map[string]any{})
+				reply(w, http.StatusTooManyRequests, map[string]any{})
 				return
 			}
 			store.ServeHTTP(w, r)
