--- a/review/lab/instance.go
+++ b/review/lab/instance.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,11 +26,13 @@
 	command  *exec.Cmd
 }
 
-// freePorts returns free loopback addresses.
-func freePorts(count int) ([]string, error) {
+// freeAddresses returns free addresses on a loopback IP that no outgoing connection uses as its
+// source, below the ports that the system gives out.
+func freeAddresses(count int) ([]string, error) {
+	ip := fmt.Sprintf("127.%d.%d.%d", 20+rand.IntN(200), rand.IntN(250), 1+rand.IntN(250))
 	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for n := range count {
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, 7000+n))
 		if err != nil {
 			return nil, err
 		}
@@ -45,7 +48,7 @@
 func (l *lab) startInstances(zones []string, store func(number int) string) ([]*instance, error) {
 	var instances []*instance
 	var seeds []string
-	addresses, err := freePorts(4 * len(zones))
+	addresses, err := freeAddresses(4 * len(zones))
 	if err != nil {
 		return nil, err
 	}
