Don't merge a shard's reply whose status is not 2xx

Callers saw: successes to queries over many shards with a part that is no answer.

The scattered request took a complete reply for an answer; nothing asked for a success. The fast failures also counted as successes of the upstream, which got more requests for them.

Ruled out: statuses from 500 on, which were errors already. Before the change: TestFailedReplyIsNotMerged (6 of its 7 cases; "60 of 60 requests were sent to the failing upstream"), TestFailedReplyIsNotReported, two cases of TestRepliesOfAnUpstream and TestFailedStatusIsNotLive failed.

Why this works: each request to a shard, first, hedged, retried or gathered for another instance, goes through dispatch.send, which now fails the attempt unless the reply is a success. It is then asked elsewhere within the budget, or missing, and the upstream's failure is counted. The own interface had the same cause: it did not look at the HTTP status of searches, orders and status requests.

--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"sync/atomic"
 	"time"
 )
@@ -147,6 +148,9 @@
 		Deadline: d.deadline,
 		Confirm:  permit.confirm(d.router.Pause),
 	})
+	if err == nil {
+		err = d.checkReply(reply)
+	}
 	result := routedResult{permit: permit, reply: reply}
 	permit.RecordLimit(reply.Limit)
 	if err != nil {
@@ -164,6 +168,16 @@
 	return result
 }
 
+// checkReply returns an error if a complete reply does not answer the request. The reply of a
+// shard does so only if its status is 2xx, because other replies can't be merged. The reply to a
+// request with one destination is returned to the caller with any status.
+func (d *dispatch) checkReply(reply RoutedReply) error {
+	if d.route.Scattered() && !reply.Success() {
+		return &AttemptError{Kind: FailureError, Detail: "status " + strconv.Itoa(reply.Status) + " from a shard"}
+	}
+	return nil
+}
+
 // recordFailure updates the counts and the excluded upstreams after a failed attempt.
 func (d *dispatch) recordFailure(result routedResult) {
 	name := result.permit.Target().Name
--- a/core/group_test.go
+++ b/core/group_test.go
@@ -165,6 +165,25 @@
 	}
 }
 
+// TestFailedReplyIsNotReported guards against a shard's failure that the gatherer of a group reports
+// as a part.
+func TestFailedReplyIsNotReported(t *testing.T) {
+	const shards, localShards = 32, 12
+	route := scatteredRoute(shards, 0.9)
+	route.TopK = 5
+	inBubble(t, func(t *testing.T) {
+		g := newGroupFixture(shards, localShards, 2, route)
+		g.remote.set("s20-b", answersStatus(404))
+		g.local.set("s20-b", answersStatus(404))
+		answer := g.local.ask(context.Background())
+		synctest.Wait()
+		if merged, _ := answer.Merged.Get(); merged.Missing != 1 || slices.Contains(merged.Signatures, "failed") {
+			t.Fatalf("%d missing, signatures %q", merged.Missing, merged.Signatures)
+		}
+		checkMerged(t, answer, route)
+	})
+}
+
 // TestShardsAreDividedAmongInstances covers requests to hundreds of shards. The shards are
 // divided among instances of this zone and of others, and each is in at most one group.
 func TestShardsAreDividedAmongInstances(t *testing.T) {
--- a/core/router_test.go
+++ b/core/router_test.go
@@ -330,6 +330,102 @@
 	}
 }
 
+// answersStatus returns a behaviour that replies with a status, a signature and a body that would
+// be among the greatest records.
+func answersStatus(status int) behaviour {
+	return func(context.Context) (RoutedReply, error) {
+		return RoutedReply{Status: status, Signature: "failed", Body: []byte("zzzzzzzzzzzzzzzz")}, nil
+	}
+}
+
+// TestFailedReplyIsNotMerged guards against a shard's failure that is merged as a part: a reply
+// with a status such as 404 is complete and has a signature.
+func TestFailedReplyIsNotMerged(t *testing.T) {
+	cases := []struct {
+		name     string
+		status   int
+		replicas int
+		missing  int
+		attempts int
+	}{
+		{"the shard is asked again at its other replica", 404, 2, 0, 5},
+		{"the same with a redirect", 302, 2, 0, 5},
+		{"the shard is missing if it has no other replica", 404, 1, 1, 4},
+		{"a success with another status than 200 is a part", 206, 1, 0, 4},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				f := newRouterFixture(4, tc.replicas, scatteredRoute(4, 0.7))
+				f.set("s2-a", answersStatus(tc.status))
+				answer := f.ask(context.Background())
+				merged, _ := answer.Merged.Get()
+				if answer.Outcome != OutcomeAnswered || merged.Missing != tc.missing || answer.Attempts != tc.attempts {
+					t.Errorf("outcome %s, %d missing, %d attempts; want %d, %d (%s)",
+						answer.Outcome, merged.Missing, answer.Attempts, tc.missing, tc.attempts, answer.Detail)
+				}
+				if success := tc.status < 300; slices.Contains(merged.Signatures, "failed") != success || strings.Contains(string(merged.Records), "z") != success {
+					t.Errorf("merged signatures %v and records %q", merged.Signatures, merged.Records)
+				}
+			})
+		})
+	}
+	t.Run("the request fails if too many shards fail", func(t *testing.T) {
+		inBubble(t, func(t *testing.T) {
+			f := newRouterFixture(4, 1, scatteredRoute(4, 0.7))
+			f.set("s1-a", answersStatus(404))
+			f.set("s2-a", answersStatus(400))
+			if answer := f.ask(context.Background()); answer.Outcome != OutcomeUnknown || f.since() > 20 {
+				t.Errorf("outcome %s after %d ms", answer.Outcome, f.since())
+			}
+		})
+	})
+	t.Run("a hedge that fails leaves the first attempt running", func(t *testing.T) {
+		inBubble(t, func(t *testing.T) {
+			f := newRouterFixture(4, 2, scatteredRoute(4, 0.7))
+			f.set("s2-a", answers(60))
+			f.set("s2-b", answersStatus(404))
+			answer := f.ask(context.Background())
+			merged, _ := answer.Merged.Get()
+			if merged.Missing != 0 || slices.Contains(merged.Signatures, "failed") {
+				t.Errorf("%d missing, signatures %v", merged.Missing, merged.Signatures)
+			}
+		})
+	})
+	t.Run("an upstream that fails often is passed over, although it replies fast", func(t *testing.T) {
+		inBubble(t, func(t *testing.T) {
+			f := newRouterFixture(4, 2, scatteredRoute(4, 0.7))
+			f.set("s2-a", answersStatus(404))
+			const requests = 60
+			for range requests {
+				f.ask(context.Background())
+			}
+			failed := 0
+			for _, name := range f.sentTo() {
+				if name == "s2-a" {
+					failed++
+				}
+			}
+			if failed > requests/4 {
+				t.Errorf("%d of %d requests were sent to the failing upstream", failed, requests)
+			}
+		})
+	})
+}
+
+// TestFailedReplyIsReturned covers a request with one destination: the caller gets the upstream's
+// own failure.
+func TestFailedReplyIsReturned(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		f := newRouterFixture(1, 2, plainRoute(true, 2))
+		f.set("s0-a", answersStatus(404))
+		answer := f.ask(context.Background())
+		if reply, _ := answer.Reply.Get(); reply.Status != 404 || reply.Signature != "failed" || answer.Attempts != 1 {
+			t.Errorf("status %d, signature %q, %d attempts", reply.Status, reply.Signature, answer.Attempts)
+		}
+	})
+}
+
 // TestUpstreamStaysInUseAfterOneLostReply covers upstreams of many shards that each lose a
 // reply by a connection reset. If one reset took them out of use, the other replicas would
 // be overloaded. They stay in use until a probe or another attempt shows that they are
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"acaciavane/core"
@@ -171,11 +172,23 @@
 		if err := json.Unmarshal(response.Body, reply); err != nil {
 			return &core.AttemptError{Kind: core.FailureBadReply, Detail: "decode reply", Cause: err}
 		}
-		return check()
+		if err := check(); err != nil {
+			return err
+		}
+		return checkStatus(response.Status)
 	})
 	return err
 }
 
+// checkStatus returns an error if the HTTP status of a reply is that of a failure, whatever its
+// body says.
+func checkStatus(status int) error {
+	if status < http.StatusOK || status >= http.StatusMultipleChoices {
+		return &core.AttemptError{Kind: core.FailureError, Detail: "status " + strconv.Itoa(status)}
+	}
+	return nil
+}
+
 // Probe implements core.UpstreamClient. It opens the connections that are not
 // open yet and requests the upstream's status on one of them. If all connections
 // are in use, it fails at once with core.ErrNoFreeConnection.
@@ -191,7 +204,7 @@
 		if err := json.Unmarshal(response.Body, &status); err != nil {
 			return &core.AttemptError{Kind: core.FailureBadReply, Detail: "decode status", Cause: err}
 		}
-		return nil
+		return checkStatus(response.Status)
 	})
 	if err != nil {
 		return core.UpstreamStatus{}, err
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -101,6 +101,16 @@
 			r.Outcome, r.AttemptID = OutcomeNotRun, "b"
 		}), core.FailureBadReply, false},
 		{"from an upstream without the snapshot", reply(func(r *SearchReply) { r.Outcome, r.Reason = OutcomeNotRun, ReasonNoSnapshot }), core.FailureNoSnapshot, true},
+		{"valid, but with the status of a failure", func(w http.ResponseWriter, request SearchRequest) {
+			w.WriteHeader(http.StatusNotFound)
+			_ = json.NewEncoder(w).Encode(validReply(request))
+		}, core.FailureError, true},
+		{"not run, with the status of a failure", func(w http.ResponseWriter, request SearchRequest) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			r := validReply(request)
+			r.Outcome, r.Reason = OutcomeNotRun, "shed"
+			_ = json.NewEncoder(w).Encode(r)
+		}, core.FailureNotRun, true},
 		{"not JSON", func(w http.ResponseWriter, _ SearchRequest) { _, _ = io.WriteString(w, "<html>") }, core.FailureBadReply, false},
 		{"an error page without an outcome", func(w http.ResponseWriter, _ SearchRequest) { http.Error(w, "busy", http.StatusServiceUnavailable) }, core.FailureBadReply, false},
 		{"not HTTP", func(w http.ResponseWriter, _ SearchRequest) { replyAndClose(w, "garbage\r\n\r\n") }, core.FailureLost, false},
@@ -142,6 +152,22 @@
 	})
 }
 
+// TestFailedStatusIsNotLive guards against a failed status request that makes an upstream count as
+// live because its body looks like a status.
+func TestFailedStatusIsNotLive(t *testing.T) {
+	Convey("A status with the HTTP status of a failure is refused", t, func() {
+		server := newUpstreamServer(func(w http.ResponseWriter, _ SearchRequest) {
+			w.WriteHeader(http.StatusInternalServerError)
+			_ = json.NewEncoder(w).Encode(Status{Incarnation: 3, State: "live"})
+		})
+		defer server.Close()
+		_, err := New(core.NewClock(), &net.Dialer{}, core.NewCounters()).Probe(context.Background(), server.target(1))
+		var failure *core.AttemptError
+		So(errors.As(err, &failure), ShouldBeTrue)
+		So(failure.Kind, ShouldEqual, core.FailureError)
+	})
+}
+
 func TestRefusedConnection(t *testing.T) {
 	Convey("A refused connection proves that no byte of the request was sent", t, func() {
 		server := newUpstreamServer(nil)
--- a/standin/faults/list.go
+++ b/standin/faults/list.go
@@ -16,6 +16,11 @@
 		old: "if reply.Snapshot != attempt.Snapshot {", new: "if false {",
 		pkg: "./io/upstream", test: "TestRepliesOfAnUpstream",
 	},
+	{
+		name: "failedReplyMerged", file: "core/dispatch.go",
+		old: "if d.route.Scattered() && !reply.Success() {", new: "if false {",
+		pkg: "./core", test: "TestFailedReplyIsNotMerged",
+	},
 	{
 		name: "newestSnapshotRegardless", file: "core/snapshot.go",
 		old: "if covered == asked.Size() {", new: "if covered >= 0 {",
