Don't send a rejected request again on the same connection

Cause: a reply is recognised by the request's ID. An attempt after a rejection has the same ID and may use the same connection, as the pool hands out the one that was used last. A second copy of the rejection that arrives there counts as the reply to an attempt that the upstream then runs.

Why this works: a connection remembers the requests that were rejected on it and never carries one of them again, so no second proof can arrive. A repeated attempt takes another connection, and closes the longest idle one first, with the usual delay, if no more may be open. After 64 rejections a connection is closed, so that none is forgotten. All attempts, also for groups and delegated requests, go through Client.Exchange. The own interface is not affected: its attempts have IDs of their own.

--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -29,6 +29,10 @@
 
 // Request is an HTTP request to an upstream.
 type Request struct {
+	// ID identifies the request in its reply. Once an upstream has rejected a request, the
+	// request is not sent again on the same connection: a second copy of the rejection may
+	// arrive there late. ID is empty if each reply identifies the attempt that it belongs to.
+	ID     string
 	Method string
 	// Target is the path with its query. It is sent unchanged.
 	Target string
@@ -81,7 +85,7 @@
 func (c *Client) Exchange(ctx context.Context, target core.Target, request Request, own func(http.Header) bool, check func(Response) error) (Response, error) {
 	pool := c.poolFor(target)
 	requested := c.clock.Now()
-	pooled, err := pool.acquire(ctx)
+	pooled, err := pool.acquire(ctx, request.ID)
 	if err != nil {
 		return Response{}, err
 	}
@@ -97,6 +101,9 @@
 	if err == nil {
 		err = check(response)
 	}
+	if isRejection(err) {
+		keep = keep && pooled.recordRejection(request.ID)
+	}
 	if keep && reusable(err) {
 		pooled.lastUsed = c.clock.Now()
 		pool.put(pooled)
@@ -116,6 +123,12 @@
 	return errors.As(err, &failure) && failure.Kind == core.FailureTimeout
 }
 
+// isRejection reports whether the upstream replied that it did not run the request.
+func isRejection(err error) bool {
+	var failure *core.AttemptError
+	return errors.As(err, &failure) && failure.Kind == core.FailureNotRun
+}
+
 // reusable reports whether the connection can carry another request after err.
 func reusable(err error) bool {
 	if err == nil {
--- a/io/upstream/lanes.go
+++ b/io/upstream/lanes.go
@@ -3,7 +3,9 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,6 +24,9 @@
 	// maxConnections limits the connections to one upstream, even if
 	// core.Target.MaxConnections is larger.
 	maxConnections = 1024
+	// maxRejectedIDs is how many rejected requests a connection remembers. It is closed after the
+	// last of them.
+	maxRejectedIDs = 64
 	// readBufferBytes is large enough for a small reply with its head.
 	readBufferBytes = 2048
 )
@@ -37,6 +42,28 @@
 	// idleTimeout is how long the upstream keeps the connection open without a
 	// request, or zero if the upstream does not announce it.
 	idleTimeout core.Millis
+	// rejected holds the hashes of the IDs of the requests that the upstream has rejected on this
+	// connection.
+	rejected []uint64
+}
+
+// idSeed is the seed of the hashes of request IDs, which callers choose.
+var idSeed = maphash.MakeSeed()
+
+// recordRejection records that the upstream has rejected the request with this ID. It reports
+// false if the connection can remember no more rejections.
+func (p *pooledConn) recordRejection(id string) bool {
+	if id == "" {
+		return true
+	}
+	p.rejected = append(p.rejected, maphash.String(idSeed, id))
+	return len(p.rejected) < maxRejectedIDs
+}
+
+// hasRejected reports whether the upstream has rejected the request with this ID on this
+// connection. It may also report true for another request, whose ID has the same hash.
+func (p *pooledConn) hasRejected(id string) bool {
+	return id != "" && len(p.rejected) > 0 && slices.Contains(p.rejected, maphash.String(idSeed, id))
 }
 
 // setIdleTimeout reads the idle timeout from a Keep-Alive header of the form
@@ -126,17 +153,24 @@
 	p.returnTokenLocked()
 }
 
-// acquire waits until a connection may be used. It returns the most recently used
-// idle connection, or a new one if none is idle. Its errors are *core.AttemptError.
-func (p *connPool) acquire(ctx context.Context) (*pooledConn, error) {
+// acquire waits until a connection may be used. It returns the most recently used idle
+// connection on which the request with this ID was not rejected, or a new one if there is none.
+// Its errors are *core.AttemptError.
+func (p *connPool) acquire(ctx context.Context, id string) (*pooledConn, error) {
 	select {
 	case <-p.tokens:
 	case <-ctx.Done():
 		return nil, &core.AttemptError{Kind: core.FailureNotSent, Detail: "no free connection", Cause: ctx.Err()}
 	}
-	if pooled := p.takeIdle(); pooled != nil {
+	if pooled := p.takeIdle(id); pooled != nil {
 		return pooled, nil
 	}
+	if p.makeRoom() {
+		if err := p.clock.Sleep(ctx, reconnectDelayMillis); err != nil {
+			p.returnToken()
+			return nil, &core.AttemptError{Kind: core.FailureNotSent, Detail: "reconnect", Cause: err}
+		}
+	}
 	pooled, err := p.dial(ctx)
 	if err != nil {
 		p.returnToken()
@@ -145,16 +179,19 @@
 	return pooled, nil
 }
 
-// takeIdle returns the most recently used idle connection that still appears
-// usable, or nil if there is none. It closes the others that it examines.
-func (p *connPool) takeIdle() *pooledConn {
+// takeIdle returns the most recently used idle connection that still appears usable and on
+// which the request with this ID was not rejected, or nil if there is none. It closes those
+// that are no longer usable.
+func (p *connPool) takeIdle(id string) *pooledConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	for len(p.idle) > 0 {
-		last := len(p.idle) - 1
-		pooled := p.idle[last]
-		p.idle = p.idle[:last]
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		pooled := p.idle[i]
+		if pooled.hasRejected(id) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
 		if pooled.usable(now) && noInputPending(pooled.conn) {
 			return pooled
 		}
@@ -163,6 +200,20 @@
 	return nil
 }
 
+// makeRoom closes the idle connection that was not used for the longest time if no more
+// connections may be opened, and reports whether it did. The caller has taken a token for
+// a connection that it has not opened yet.
+func (p *connPool) makeRoom() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle) == 0 || p.openLocked() <= p.limit {
+		return false
+	}
+	p.idle[0].close()
+	p.idle = slices.Delete(p.idle, 0, 1)
+	return true
+}
+
 // dial opens a new connection. The caller has taken a token for it.
 func (p *connPool) dial(ctx context.Context) (*pooledConn, error) {
 	conn, err := p.dialer.DialContext(ctx, "tcp", p.target.Address)
@@ -232,6 +283,11 @@
 func (p *connPool) open() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.openLocked()
+}
+
+// openLocked is open for callers that hold the lock.
+func (p *connPool) openLocked() int {
 	return len(p.idle) + p.limit + p.excess - len(p.tokens)
 }
 
--- /dev/null
+++ b/io/upstream/lanes_test.go
@@ -0,0 +1,52 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"acaciavane/core"
+)
+
+// TestConnectionsOfRejectedRequests guards against more open connections than the target allows
+// when a request is sent again and must not use the connections on which it was rejected.
+func TestConnectionsOfRejectedRequests(t *testing.T) {
+	server := newUpstreamServer(nil)
+	defer server.Close()
+	ctx := context.Background()
+	for _, limit := range []int{1, 2, 3} {
+		Convey("With "+string(rune('0'+limit))+" connections", t, func() {
+			pool := newConnPool(core.NewClock(), &net.Dialer{}, &replyBudget{}, server.target(limit))
+			defer pool.close()
+			used := map[*pooledConn]bool{}
+			for range 3 * limit {
+				pooled, err := pool.acquire(ctx, "id")
+				So(err, ShouldBeNil)
+				So(used[pooled], ShouldBeFalse)
+				So(pool.open(), ShouldBeLessThanOrEqualTo, limit)
+				used[pooled] = true
+				So(pooled.recordRejection("id"), ShouldBeTrue)
+				pool.put(pooled)
+			}
+			pooled, err := pool.acquire(ctx, "other")
+			So(err, ShouldBeNil)
+			So(used[pooled], ShouldBeTrue)
+			pool.put(pooled)
+		})
+	}
+	Convey("The wait for a connection that replaces another ends with the request", t, func() {
+		pool := newConnPool(core.NewClock(), &net.Dialer{}, &replyBudget{}, server.target(1))
+		defer pool.close()
+		pooled, err := pool.acquire(ctx, "id")
+		So(err, ShouldBeNil)
+		So(pooled.recordRejection("id"), ShouldBeTrue)
+		pool.put(pooled)
+		ended, cancel := context.WithCancel(ctx)
+		cancel()
+		_, err = pool.acquire(ended, "id")
+		So(err, ShouldNotBeNil)
+		So(len(pool.tokens), ShouldEqual, 1)
+	})
+}
--- a/standin/faults/list.go
+++ b/standin/faults/list.go
@@ -21,6 +21,11 @@
 		old: "if d.route.Scattered() && !reply.Success() {", new: "if false {",
 		pkg: "./core", test: "TestFailedReplyIsNotMerged",
 	},
+	{
+		name: "rejectedConnectionUsedAgain", file: "io/upstream/lanes.go",
+		old: "if pooled.hasRejected(id) {", new: "if false {",
+		pkg: "./platform", test: "TestLateCopyOfRejection",
+	},
 	{
 		name: "newestSnapshotRegardless", file: "core/snapshot.go",
 		old: "if covered == asked.Size() {", new: "if covered >= 0 {",
