--- a/standin/faults/list.go
+++ b/standin/faults/list.go
@@ -26,6 +26,11 @@
 		old: "if pooled.hasRejected(id) {", new: "if false {",
 		pkg: "./platform", test: "TestLateCopyOfRejection",
 	},
+	{
+		name: "healthCheckReplyTaken", file: "platform/upstream.go",
+		old: "return header.Get(headerRequestID) == attempt.ID }", new: "return header.Get(headerRequestID) == attempt.ID || header.Get(headerRequestID) == \"\" }",
+		pkg: "./platform", test: "TestLateCopyOfHealthCheckReply",
+	},
 	{
 		name: "newestSnapshotRegardless", file: "core/snapshot.go",
 		old: "if covered == asked.Size() {", new: "if covered >= 0 {",
