Leave out invalid entries of the own interface's instance list

Callers would see: instances that end for lack of memory, again after each start, or that send requests to upstreams that have left, after another writer has left one odd entry in the instance list.

Errors were collected for the document, so one entry with an error had the whole list refused, and the last list stayed in use.

Why this works: what is nested deeper than 32 levels is skipped token by token and nothing of it is kept; errors belong to the entry that they were found in, which is left out. What was left out is in InstanceList.Invalid, bounded, and logged when it changes. A list without any valid entry is refused, as before. Addresses with port 0 and unspecified ones are invalid, as no connection can be opened to them.

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync/atomic"
 
 	"github.com/go-logr/logr"
@@ -52,6 +53,8 @@
 	// lastUnreadyReason is the reason that was last logged for not being ready, or an empty
 	// string if the instance was last logged as ready.
 	lastUnreadyReason atomic.Pointer[string]
+	// lastInvalidEntries are the invalid entries of the instance list that were last logged.
+	lastInvalidEntries []string
 }
 
 // newInstance creates the components of an instance and connects them.
@@ -158,6 +161,7 @@
 	i.prober = core.NewProber(i.clock, i.fleet, sources.probes)
 	i.store = core.NewStore(i.clock, sources.decoder, i.counters)
 	i.store.OnConfiguration(i.applyConfiguration)
+	i.store.OnInstanceList(i.logInvalidEntries)
 	i.store.OnInstanceList(sources.applyList)
 	i.peerClient = peer.NewClient(i.clock, i.counters, dialer)
 	i.peers = core.NewPeers(core.PeersConfig{
@@ -231,6 +235,16 @@
 		"incarnation", change.Incarnation, "cause", change.Cause, "heardMillisAgo", int64(i.clock.Since(change.HeardAt)))
 }
 
+// logInvalidEntries logs which entries of the instance list are left out, when that changes. The
+// store calls it with one list at a time.
+func (i *instance) logInvalidEntries(list core.InstanceList) {
+	if slices.Equal(list.Invalid, i.lastInvalidEntries) {
+		return
+	}
+	i.lastInvalidEntries = list.Invalid
+	i.log.Info("invalid entries in the instance list", "entries", list.Invalid, "revision", list.Revision)
+}
+
 // logLimit logs a change of the request limit of an upstream.
 func (i *instance) logLimit(change core.LimitChange) {
 	fields := []any{"upstream", change.Name, "service", change.Service, "source", change.Source, "sent", change.Sent}
--- a/core/configuration.go
+++ b/core/configuration.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 )
 
 // Configuration is what operators publish for one deployment.
@@ -164,6 +165,24 @@
 	// Raw is the published document, passed on to peers unchanged.
 	Raw     []byte
 	Members []Member
+	// Invalid describes entries that were left out because they can't be used.
+	Invalid []string
+}
+
+const (
+	// maxInvalidEntries is how many invalid entries an InstanceList describes.
+	maxInvalidEntries = 8
+	// maxInvalidBytes limits the description of one of them.
+	maxInvalidBytes = 300
+)
+
+// AddInvalid adds the description of an invalid entry, unless there are many already.
+func (l *InstanceList) AddInvalid(err error) {
+	if len(l.Invalid) >= maxInvalidEntries {
+		return
+	}
+	text := err.Error()
+	l.Invalid = append(l.Invalid, strings.ToValidUTF8(text[:min(len(text), maxInvalidBytes)], "?"))
 }
 
 // Role tells entry instances from upstreams.
--- a/io/configservice/decoder.go
+++ b/io/configservice/decoder.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"slices"
+	"strings"
 
 	"acaciavane/core"
 	"acaciavane/io/jsondoc"
@@ -92,7 +93,7 @@
 	for _, item := range node.Field("upstreams").Items(1) {
 		upstream := core.Upstream{
 			Name:    item.Field("name").Text(),
-			Address: item.Field("address").Address(),
+			Address: item.Field("address").RemoteAddress(),
 			Zone:    item.Field("zone").Text(),
 		}
 		item.RejectUnknownFields()
@@ -190,20 +191,30 @@
 	return list.Raw, nil
 }
 
-// InstanceList implements core.Decoder.
+// InstanceList implements core.Decoder. It leaves out invalid entries, unless there are no
+// others.
 func (Decoder) InstanceList(raw []byte) (core.InstanceList, error) {
 	root, doc, err := jsondoc.Parse("instances", raw)
 	if err != nil {
 		return core.InstanceList{}, fmt.Errorf("%w: %w", ErrInvalidDocument, err)
 	}
 	list := core.InstanceList{Revision: uint64(root.Field("revision").Int(1, math.MaxInt64))}
-	for _, item := range root.Field("instances").Items(0) {
-		list.Members = append(list.Members, readMember(item))
-	}
+	items := root.Field("instances").Items(0)
 	root.RejectUnknownFields()
-	if err := doc.Err(); err != nil {
+	if err := doc.TakeErr(); err != nil {
 		return core.InstanceList{}, fmt.Errorf("%w: %w", ErrInvalidDocument, err)
 	}
+	for _, item := range items {
+		member := readMember(item)
+		if err := doc.TakeErr(); err != nil {
+			list.AddInvalid(err)
+			continue
+		}
+		list.Members = append(list.Members, member)
+	}
+	if len(list.Members) == 0 && len(list.Invalid) > 0 {
+		return core.InstanceList{}, fmt.Errorf("%w: %s", ErrInvalidDocument, strings.Join(list.Invalid, "; "))
+	}
 	list.Raw = slices.Clone(raw)
 	return list, nil
 }
@@ -213,7 +224,7 @@
 		Name:        node.Field("name").Text(),
 		Role:        core.Role(node.Field("role").OneOf(string(core.RoleEntry), string(core.RoleUpstream))),
 		Zone:        node.Field("zone").Text(),
-		Address:     node.Field("address").Address(),
+		Address:     node.Field("address").RemoteAddress(),
 		Incarnation: uint64(node.Field("incarnation").IntOr(0, math.MaxInt64, 0)),
 		Leaving:     node.Field("state").OneOf("live", "leaving") == "leaving",
 	}
--- a/io/configservice/platform_test.go
+++ b/io/configservice/platform_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 
@@ -93,6 +94,55 @@
 	})
 }
 
+// TestOddEntriesOfLists guards against one damaged entry of the instance list that ends the process
+// or keeps it from following the list.
+func TestOddEntriesOfLists(t *testing.T) {
+	const valid = `{"name": "u", "role": "upstream", "zone": "z", "address": "127.0.0.1:1", "incarnation": 5, "state": "leaving"}`
+	nested := func(depth int) string { return strings.Repeat("[", depth) + strings.Repeat("]", depth) }
+	change := func(old, new string) string { return strings.Replace(valid, old, new, 1) }
+	cases := []struct{ name, entry string }{
+		{"deeply nested, in an unknown field", change(`"zone"`, `"extra": `+nested(100_000)+`, "zone"`)},
+		{"deeply nested, in a known field", change(`"z"`, nested(100_000))},
+		{"deeply nested, in place of the entry", nested(100_000)},
+		{"with objects nested deeply", change(`"zone"`, `"extra": `+strings.Repeat(`{"a":`, 50_000)+"1"+strings.Repeat("}", 50_000)+`, "zone"`)},
+		{"with a number too large", change(`5`, `99999999999999999999`)},
+		{"with an exponent too large", change(`5`, `1e999`)},
+		{"with a negative number", change(`5`, `-5`)},
+		{"with a port out of range", change(`:1"`, `:70000"`)},
+		{"with port 0", change(`:1"`, `:0"`)},
+		{"with an unspecified address", change(`127.0.0.1`, `0.0.0.0`)},
+		{"with a field of another type", change(`"127.0.0.1:1"`, `17`)},
+		{"with a field twice", change(`"zone"`, `"zone": "y", "zone"`)},
+		{"in an unknown state", change(`"leaving"`, `"resting"`)},
+		{"that is no object", `7`},
+	}
+	Convey("The other entries hold beside an entry", t, func() {
+		for _, tc := range cases {
+			Convey(tc.name, func() {
+				var before, after runtime.MemStats
+				runtime.ReadMemStats(&before)
+				list, err := NewDecoder().InstanceList([]byte(`{"revision": 4, "instances": [` + tc.entry + ", " + valid + `]}`))
+				runtime.ReadMemStats(&after)
+				So(err, ShouldBeNil)
+				So(list.Members, ShouldHaveLength, 1)
+				So(list.Members[0].Leaving, ShouldBeTrue)
+				So(list.Invalid, ShouldHaveLength, 1)
+				So((after.TotalAlloc-before.TotalAlloc)>>20, ShouldBeLessThan, 64)
+			})
+		}
+	})
+	Convey("The descriptions of many invalid entries are bounded", t, func() {
+		list, err := NewDecoder().InstanceList([]byte(`{"revision": 4, "instances": [` + strings.Repeat(`{"name": "`+strings.Repeat("x", 4000)+`", "role": 1}, `, 200) + valid + `]}`))
+		So(err, ShouldBeNil)
+		So(list.Members, ShouldHaveLength, 1)
+		So(len(strings.Join(list.Invalid, "")), ShouldBeLessThan, 4000)
+	})
+	Convey("A configuration that is nested deeply is refused", t, func() {
+		_, err := NewDecoder().Configuration([]byte(strings.Replace(validConfiguration, `"version": 3`, `"version": 3, "extra": `+nested(100_000), 1)))
+		So(errors.Is(err, ErrInvalidDocument), ShouldBeTrue)
+	})
+}
+
 func TestReads(t *testing.T) {
 	cases := []struct {
 		name   string
--- a/io/jsondoc/jsondoc.go
+++ b/io/jsondoc/jsondoc.go
@@ -15,6 +15,11 @@
 	"strings"
 )
 
+// maxDepth is the largest number of nested objects and arrays that are read. It is several times
+// that of any document. What is nested deeper is skipped, because the memory for the paths of nodes
+// grows with the square of the depth.
+const maxDepth = 32
+
 // Error is a single error in a document.
 type Error struct {
 	File string
@@ -57,6 +62,8 @@
 	fields    map[string]*Node
 	items     []*Node
 	requested map[string]bool
+	// duplicates are the fields of an object that occur again.
+	duplicates []*Node
 }
 
 type kind int
@@ -66,6 +73,8 @@
 	kindScalar
 	kindObject
 	kindArray
+	// kindTooDeep is the kind of a value that was skipped because it is nested too deep.
+	kindTooDeep
 )
 
 // Parse parses a document whose top level is an object.
@@ -73,7 +82,7 @@
 	doc := &Document{file: file, raw: raw}
 	decoder := json.NewDecoder(bytes.NewReader(raw))
 	decoder.UseNumber()
-	root, err := doc.parseValue(decoder, "")
+	root, err := doc.parseValue(decoder, "", 0)
 	if err != nil {
 		return nil, nil, doc.syntaxError(decoder, err)
 	}
@@ -95,22 +104,43 @@
 	return 1 + bytes.Count(d.raw[:min(offset, int64(len(d.raw)))], []byte("\n"))
 }
 
-func (d *Document) parseValue(decoder *json.Decoder, path string) (*Node, error) {
+// parseValue parses the next value, which is nested in depth objects and arrays.
+func (d *Document) parseValue(decoder *json.Decoder, path string, depth int) (*Node, error) {
 	token, err := decoder.Token()
 	if err != nil {
 		return nil, err
 	}
 	node := &Node{doc: d, path: path, offset: decoder.InputOffset(), kind: kindScalar, scalar: token}
-	switch token {
-	case json.Delim('{'):
-		return node, d.parseObject(decoder, node)
-	case json.Delim('['):
-		return node, d.parseArray(decoder, node)
+	switch {
+	case token != json.Delim('{') && token != json.Delim('['):
+		return node, nil
+	case depth == maxDepth:
+		node.kind = kindTooDeep
+		return node, skipValue(decoder)
+	case token == json.Delim('{'):
+		return node, d.parseObject(decoder, node, depth+1)
+	}
+	return node, d.parseArray(decoder, node, depth+1)
+}
+
+// skipValue reads the rest of an object or array whose first delimiter was read.
+func skipValue(decoder *json.Decoder) error {
+	for open := 1; open > 0; {
+		token, err := decoder.Token()
+		if err != nil {
+			return err
+		}
+		switch token {
+		case json.Delim('{'), json.Delim('['):
+			open++
+		case json.Delim('}'), json.Delim(']'):
+			open--
+		}
 	}
-	return node, nil
+	return nil
 }
 
-func (d *Document) parseObject(decoder *json.Decoder, node *Node) error {
+func (d *Document) parseObject(decoder *json.Decoder, node *Node, depth int) error {
 	node.kind = kindObject
 	node.fields = map[string]*Node{}
 	node.requested = map[string]bool{}
@@ -120,12 +150,12 @@
 			return err
 		}
 		name, _ := token.(string)
-		field, err := d.parseValue(decoder, joinPath(node.path, name))
+		field, err := d.parseValue(decoder, joinPath(node.path, name), depth)
 		if err != nil {
 			return err
 		}
-		if _, duplicate := node.fields[name]; duplicate {
-			field.AddError("the field occurs twice")
+		if _, occurred := node.fields[name]; occurred {
+			node.duplicates = append(node.duplicates, field)
 		}
 		node.fields[name] = field
 		node.names = append(node.names, name)
@@ -134,10 +164,10 @@
 	return err
 }
 
-func (d *Document) parseArray(decoder *json.Decoder, node *Node) error {
+func (d *Document) parseArray(decoder *json.Decoder, node *Node, depth int) error {
 	node.kind = kindArray
 	for decoder.More() {
-		item, err := d.parseValue(decoder, fmt.Sprintf("%s[%d]", node.path, len(node.items)))
+		item, err := d.parseValue(decoder, fmt.Sprintf("%s[%d]", node.path, len(node.items)), depth)
 		if err != nil {
 			return err
 		}
@@ -159,6 +189,14 @@
 	return errors.Join(d.errs...)
 }
 
+// TakeErr returns all errors found since the last call, joined, or nil, and forgets them. It lets
+// a reader leave out a part of a document that is invalid.
+func (d *Document) TakeErr() error {
+	err := d.Err()
+	d.errs = nil
+	return err
+}
+
 // AddError records an error at the value. Reading continues.
 func (n *Node) AddError(format string, values ...any) {
 	failure := &Error{
@@ -192,12 +230,16 @@
 	return &Node{doc: n.doc, path: joinPath(n.path, name), offset: n.offset}
 }
 
-// RejectUnknownFields records an error for each field that was not requested with Field.
+// RejectUnknownFields records an error for each field that was not requested with Field or that
+// occurs twice.
 func (n *Node) RejectUnknownFields() {
 	if n.kind != kindObject {
 		n.AddError("must be an object")
 		return
 	}
+	for _, duplicate := range n.duplicates {
+		duplicate.AddError("the field occurs twice")
+	}
 	known := slices.Sorted(maps.Keys(n.requested))
 	for _, name := range n.names {
 		if !n.requested[name] {
@@ -247,6 +289,15 @@
 	return text
 }
 
+// RemoteAddress returns an IP address with a port that a connection can be opened to.
+func (n *Node) RemoteAddress() string {
+	text := n.Address()
+	if address, err := netip.ParseAddrPort(text); err == nil && (address.Port() == 0 || address.Addr().IsUnspecified()) {
+		n.AddError("must be the address of another process, as in 127.0.0.1:8080")
+	}
+	return text
+}
+
 // IP returns an IP address.
 func (n *Node) IP() string {
 	text := n.Text()
