Test replies that break off at each of their bytes

Without a length, a body that ends by a close can't be told from a whole one on the routes interface; the own one has its end field.

No change of the code.

--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -168,6 +168,38 @@
 	})
 }
 
+// TestRepliesThatBreakOff guards against a reply that breaks off and is taken for a whole one. The
+// reply is cut at each of its bytes. Without a length it ends with its connection, so that only its
+// content shows that something is missing.
+func TestRepliesThatBreakOff(t *testing.T) {
+	clock := core.NewClock()
+	attempt := newAttempt(clock)
+	attempt.Deadline += core.Minute
+	body, err := json.Marshal(validReply(toSearchRequest(attempt, clock.Now())))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, whole := range map[string]string{
+		"with a length":    fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body),
+		"without a length": "HTTP/1.1 200 OK\r\n\r\n" + string(body),
+	} {
+		t.Run(name, func(t *testing.T) {
+			cut := len(whole)
+			server := newUpstreamServer(func(w http.ResponseWriter, _ SearchRequest) { replyAndClose(w, whole[:cut]) })
+			defer server.Close()
+			client := New(clock, &net.Dialer{}, core.NewCounters())
+			if _, err := client.Search(context.Background(), server.target(8), attempt); err != nil {
+				t.Errorf("the whole reply was not accepted: %v", err)
+			}
+			for cut = 0; cut < len(whole); cut++ {
+				if _, err := client.Search(context.Background(), server.target(8), attempt); err == nil {
+					t.Errorf("cut after byte %d of %d: accepted", cut, len(whole))
+				}
+			}
+		})
+	}
+}
+
 func TestRefusedConnection(t *testing.T) {
 	Convey("A refused connection proves that no byte of the request was sent", t, func() {
 		server := newUpstreamServer(nil)
