Refuse late requests in a planned stop, and answer those in flight before its end

Callers saw in tests: requests taken before a planned stop or during its drain were cut without an answer when the time for the stop was over, also those that must not be repeated; requests on open connections after the drain were read and got no answer.

Cause: only the code that cut the connections knew when the stop ends. A request taken at the end of the drain may last 4 s and had 3.5 s. http.Server.Shutdown closes a connection after it has read a request, and the server for other instances took delegated requests until the callers' server had ended.

Ruled out: callers' requests that are passed on after the drain.

Why this works: core.Shutdown tells the router when the drain is over, from when on it refuses callers', delegated and grouped requests as not run, and ends the contexts of all requests 0.5 s before the end, so that each is answered with what is known: the parts that are in, not run, or unknown. The process waits until no connection has a request, and exits 0.1 s before the end at the latest.

--- a/cli/entry.go
+++ b/cli/entry.go
@@ -37,6 +37,13 @@
 	// maxCallerHeadBytes bounds the head of a caller's request. It is more than an upstream
 	// would read.
 	maxCallerHeadBytes = 64 << 10
+	// stopAnswerMargin is how long before the end of a planned stop the requests in flight are
+	// ended, so that they are answered before the process exits.
+	stopAnswerMargin = 500 * core.Millis(1)
+	// stopExitMargin is how long before the end of a planned stop the process exits at the latest.
+	stopExitMargin = 100 * core.Millis(1)
+	// stopPollInterval is how often a stopping process checks for requests in flight.
+	stopPollInterval = 10 * core.Millis(1)
 	// handOverTimeout bounds the hand-over of the tickets to another instance.
 	handOverTimeout = 2 * time.Second
 )
@@ -98,6 +105,9 @@
 	log      logr.Logger
 	metrics  *operator.Metrics
 	callers  *http.Server
+	// callerListener is set once run listens, and callerConns are the connections of callers.
+	callerListener net.Listener
+	callerConns    *connTracker
 	// ready is nil unless the balancer checks readiness at a separate address.
 	ready    *http.Server
 	admin    *http.Server
@@ -128,6 +138,7 @@
 	} else {
 		handler = caller.New(i.clock, settings.Instance, i, i.counters, metrics.Observe, uuid.NewString, log).Handler()
 	}
+	conns := newConnTracker()
 	admin := operator.New(i.state, i.acceptsCallers, metrics, level, log)
 	return &entryServer{
 		instance: i,
@@ -135,10 +146,12 @@
 		metrics:  metrics,
 		callers: &http.Server{
 			Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeadBytes,
+			ConnState: conns.observe, BaseContext: func(net.Listener) context.Context { return i.shutdown.Context() },
 		},
-		ready: ready,
-		admin: &http.Server{Handler: admin.Handler(), ReadHeaderTimeout: readHeaderTimeout},
-		peers: peer.NewServer(i.clock, i, i.counters, log),
+		callerConns: conns,
+		ready:       ready,
+		admin:       &http.Server{Handler: admin.Handler(), ReadHeaderTimeout: readHeaderTimeout},
+		peers:       peer.NewServer(i.clock, i, i.counters, log),
 	}, nil
 }
 
@@ -188,9 +201,12 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", server.address, err)
 		}
+		if server.address == settings.CallerAddress {
+			s.callerListener = listener
+		}
 		group.Go(func() error {
 			err := server.serve(listener)
-			if err != nil && !errors.Is(err, http.ErrServerClosed) {
+			if err != nil && !errors.Is(err, http.ErrServerClosed) && !s.instance.shutdown.Refusing() {
 				failed <- fmt.Errorf("serve on %s: %w", server.address, err)
 			}
 			return nil
@@ -199,26 +215,54 @@
 	return nil
 }
 
-// stop makes the balancer and the peers see that the instance is leaving, continues
-// to serve until they have had time to react, hands the tickets over and waits for the
-// requests in flight.
+// stop makes the balancer and the peers see that the instance is leaving and continues to serve
+// until they have had time to react. It then refuses new requests, hands the tickets over and
+// waits for the requests in flight.
 func (s *entryServer) stop() {
 	i := s.instance
+	started := i.clock.Now()
 	i.leaving.Store(true)
 	i.peers.Leave()
 	s.log.Info("stopping: no longer ready", "drainMillis", i.settings.Drain)
 	_ = i.clock.Sleep(context.Background(), i.settings.Drain)
+	i.shutdown.Refuse()
+	_ = s.callerListener.Close()
+	s.callers.SetKeepAlivesEnabled(false)
 	s.handOver()
-	limitedCtx, cancel := context.WithTimeout(context.Background(), (i.settings.StopTimeout - i.settings.Drain).Duration())
-	defer cancel()
-	if err := s.callers.Shutdown(limitedCtx); err != nil {
-		s.log.Error(err, "requests still in flight when the stop timed out")
-	}
-	s.peers.Stop(limitedCtx)
+	s.finishRequests(started + i.settings.StopTimeout)
 	s.close()
 	s.log.Info("stopped")
 }
 
+// finishRequests waits until no requests are in flight, and until end at most. Shortly before end
+// it ends those that are left, so that their callers get an answer.
+func (s *entryServer) finishRequests(end core.Millis) {
+	i := s.instance
+	if !s.awaitIdle(end - stopAnswerMargin) {
+		s.log.Info("ending the requests in flight", "callers", s.callerConns.activeCount(), "inFlight", i.inFlight())
+		i.shutdown.EndRequests()
+		if !s.awaitIdle(end - stopExitMargin) {
+			s.log.Info("requests still in flight when the stop timed out", "callers", s.callerConns.activeCount(), "inFlight", i.inFlight())
+		}
+	}
+	limitedCtx, cancel := i.clock.WithDeadline(context.Background(), max(end, i.clock.Now()+stopExitMargin))
+	defer cancel()
+	s.peers.Stop(limitedCtx)
+}
+
+// awaitIdle waits until no requests of callers or peers are in flight. It returns false if some
+// still are at the deadline.
+func (s *entryServer) awaitIdle(deadline core.Millis) bool {
+	i := s.instance
+	for s.callerConns.activeCount() > 0 || i.inFlight() > 0 {
+		if i.clock.Now() >= deadline {
+			return false
+		}
+		_ = i.clock.Sleep(context.Background(), stopPollInterval)
+	}
+	return true
+}
+
 // handOver gives the tickets of this instance to another one. An instance with the routes
 // interface has no tickets.
 func (s *entryServer) handOver() {
--- a/cli/instance.go
+++ b/cli/instance.go
@@ -48,6 +48,8 @@
 	// routes is nil unless the instance has the routes interface.
 	routes  *routes
 	leaving atomic.Bool
+	// shutdown tells how far the planned stop has gone.
+	shutdown *core.Shutdown
 	// wasReady is set once initialised has returned true.
 	wasReady atomic.Bool
 	// lastUnreadyReason is the reason that was last logged for not being ready, or an empty
@@ -74,6 +76,7 @@
 			Capacity:    settings.Capacity,
 		},
 	}
+	i.shutdown = core.NewShutdown()
 	i.facts = core.NewFactLog(clock)
 	i.fleet = core.NewFleet(clock, settings.Zone, settings.Policy, i.recordFact)
 	i.fleet.OnChange(i.logUpstream)
@@ -374,6 +377,9 @@
 
 // Query implements caller.Service.
 func (i *instance) Query(ctx context.Context, request core.Request) core.Answer {
+	if i.shutdown.Refusing() {
+		return core.Refuse(request.ID, core.ReasonNotReady, "the instance is stopping")
+	}
 	return i.engine.Query(ctx, request)
 }
 
@@ -397,6 +403,8 @@
 
 // RunForwarded implements peer.Handler.
 func (i *instance) RunForwarded(ctx context.Context, ticket core.Ticket, request core.Request) core.Answer {
+	ctx, release := i.shutdown.Bind(ctx)
+	defer release()
 	return i.orders.RunForwarded(ctx, ticket, request)
 }
 
@@ -405,6 +413,8 @@
 	if i.routes == nil {
 		return core.DelegatedAnswer{Answer: core.RoutedAnswer{Outcome: core.OutcomeNotRun, Reason: core.ReasonNotReady}}
 	}
+	ctx, release := i.shutdown.Bind(ctx)
+	defer release()
 	return i.routes.router.AnswerDelegated(ctx, request)
 }
 
@@ -414,6 +424,8 @@
 	if i.routes == nil || i.leaving.Load() {
 		return core.ErrGroupRefused
 	}
+	ctx, release := i.shutdown.Bind(ctx)
+	defer release()
 	return i.routes.router.AnswerGroup(ctx, request, report)
 }
 
--- a/cli/routes.go
+++ b/cli/routes.go
@@ -126,6 +126,7 @@
 		Client:      r.upstreams,
 		RetryBudget: r.retryBudget,
 		Pause:       i.pause,
+		Shutdown:    i.shutdown,
 		Lag:         i.lag,
 		Counters:    i.counters,
 
--- a/core/delegate.go
+++ b/core/delegate.go
@@ -155,6 +155,9 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	r.Counters.Add(CountDelegatedHere, 1)
+	if r.Shutdown.Refusing() {
+		return DelegatedAnswer{Answer: refuseStopping()}
+	}
 	request := r.toLocalRequest(delegated)
 	if len(delegated.Configuration) > 0 {
 		if _, err := r.Store.UpdateConfiguration(delegated.Configuration, "delegated request"); err != nil {
--- a/core/group.go
+++ b/core/group.go
@@ -190,6 +190,8 @@
 		return Route{}, fmt.Errorf("%w: another configuration is in force", ErrGroupRefused)
 	case warmingUp || len(r.Delegation.Delegates()) > 0:
 		return Route{}, fmt.Errorf("%w: this instance does not send requests to upstreams", ErrGroupRefused)
+	case r.Shutdown.Refusing():
+		return Route{}, fmt.Errorf("%w: this instance is stopping", ErrGroupRefused)
 	case r.Lag.Lag() >= OffloadLagMillis:
 		return Route{}, fmt.Errorf("%w: this instance is behind", ErrGroupRefused)
 	case r.crashes.convicted(request.fingerprint):
--- a/core/router.go
+++ b/core/router.go
@@ -17,6 +17,7 @@
 	Client      RoutedClient
 	RetryBudget *RetryBudget
 	Pause       *PauseGuard
+	Shutdown    *Shutdown
 	Lag         *LagMeter
 	Counters    *Counters
 	// Store holds the configuration in force.
@@ -100,12 +101,17 @@
 	r.inFlight.Add(1)
 	defer r.inFlight.Add(-1)
 	r.Counters.Add(CountQueries, 1)
+	if r.Shutdown.Refusing() {
+		answer := refuseStopping()
+		r.recordAnswer(request, answer)
+		return answer
+	}
 	if err := r.Pause.Await(ctx); err != nil {
 		return refuseRouted(ReasonDeadlinePassed, 0, "the caller has left")
 	}
 	request.fingerprint = request.newFingerprint()
 	answer := r.answer(ctx, request)
-	if answer.Outcome == OutcomeUnknown && ctx.Err() != nil {
+	if answer.Outcome == OutcomeUnknown && ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrStopping) {
 		answer.Reason = ReasonCallerLeft
 	}
 	r.recordAnswer(request, answer)
@@ -292,6 +298,14 @@
 	}
 }
 
+// refuseStopping refuses a request that arrives late in a planned stop. It might not be answered
+// before the process exits.
+func refuseStopping() RoutedAnswer {
+	answer := refuseRouted(ReasonNotReady, RetrySoonMillis, "this instance is stopping")
+	answer.CloseConnection = true
+	return answer
+}
+
 // recordAnswer counts and logs the answer to a caller.
 func (r *Router) recordAnswer(request RoutedRequest, answer RoutedAnswer) {
 	if r.Observe != nil {
--- a/core/router_test.go
+++ b/core/router_test.go
@@ -135,6 +135,7 @@
 	f.router = NewRouter(RouterConfig{
 		Clock: f.clock, Fleet: f.fleet, Client: f, Counters: counters, Log: logr.Discard(), Lag: f.lag,
 		RetryBudget: NewRetryBudget(f.clock, RetryBudgetLimit{Ratio: 0.2, Slack: 80, Window: 10 * Second}, 1),
+		Shutdown:    NewShutdown(),
 		Pause:       NewPauseGuard(f.clock, counters, func(context.Context) {}),
 
 		Quarantine: NewQuarantine(f.clock, func(Fact) {}),
