Leave more time for the exit at the end of a planned stop

The last calls between instances may take half of it, so that they don't delay the exit beyond the end.

--- a/cli/connections.go
+++ b/cli/connections.go
@@ -6,7 +6,7 @@
 	"sync"
 )
 
-// connTracker counts the connections of callers on which a request is being read or answered.
+// connTracker records which connections of callers have a request that is being read or answered.
 type connTracker struct {
 	mu     sync.Mutex
 	active map[net.Conn]struct{}
@@ -28,7 +28,7 @@
 	delete(t.active, conn)
 }
 
-// activeCount returns the number of these connections.
+// activeCount returns the number of connections on which a request is being read or answered.
 func (t *connTracker) activeCount() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/cli/entry.go
+++ b/cli/entry.go
@@ -40,8 +40,9 @@
 	// stopAnswerMargin is how long before the end of a planned stop the requests in flight are
 	// ended, so that they are answered before the process exits.
 	stopAnswerMargin = 500 * core.Millis(1)
-	// stopExitMargin is how long before the end of a planned stop the process exits at the latest.
-	stopExitMargin = 100 * core.Millis(1)
+	// stopExitMargin is how long before the end of a planned stop the process no longer waits for
+	// requests. Half of it is left for calls between instances to end.
+	stopExitMargin = 200 * core.Millis(1)
 	// stopPollInterval is how often a stopping process checks for requests in flight.
 	stopPollInterval = 10 * core.Millis(1)
 	// handOverTimeout bounds the hand-over of the tickets to another instance.
@@ -245,7 +246,7 @@
 			s.log.Info("requests still in flight when the stop timed out", "callers", s.callerConns.activeCount(), "inFlight", i.inFlight())
 		}
 	}
-	limitedCtx, cancel := i.clock.WithDeadline(context.Background(), max(end, i.clock.Now()+stopExitMargin))
+	limitedCtx, cancel := i.clock.WithDeadline(context.Background(), max(end-stopExitMargin, i.clock.Now())+stopExitMargin/2)
 	defer cancel()
 	s.peers.Stop(limitedCtx)
 }
