--- a/standin/faults/list.go
+++ b/standin/faults/list.go
@@ -31,6 +31,26 @@
 		old: "return header.Get(headerRequestID) == attempt.ID }", new: "return header.Get(headerRequestID) == attempt.ID || header.Get(headerRequestID) == \"\" }",
 		pkg: "./platform", test: "TestLateCopyOfHealthCheckReply",
 	},
+	{
+		name: "oneEntryRefusesList", file: "io/configservice/decoder.go",
+		old: "			list.AddInvalid(err)\n			continue", new: "			return core.InstanceList{}, err",
+		pkg: "./io/configservice", test: "TestOddEntriesOfLists",
+	},
+	{
+		name: "portZeroTaken", file: "platform/decoder.go",
+		old: "address.Port() != 0 && ", new: "",
+		pkg: "./platform", test: "TestDecodeUpstream",
+	},
+	{
+		name: "lateRequestsPassedOn", file: "core/shutdown.go",
+		old: "return s.refusing.Load()", new: "return false",
+		pkg: "./core", test: "TestRequestsOfStoppingInstance",
+	},
+	{
+		name: "requestsOutliveStop", file: "core/shutdown.go",
+		old: "{ s.end(ErrStopping) }", new: "{}",
+		pkg: "./platform", test: "TestRequestsAtEndOfStop",
+	},
 	{
 		name: "newestSnapshotRegardless", file: "core/snapshot.go",
 		old: "if covered == asked.Size() {", new: "if covered >= 0 {",
@@ -79,7 +99,7 @@
 	},
 	{
 		name: "ticketsNotHandedOver", file: "cli/entry.go",
-		old: "	s.handOver()\n	limited", new: "	limited",
+		old: "	s.handOver()\n	s.finishRequests", new: "	s.finishRequests",
 		pkg: "./proof", test: "TestTicketsSurviveGracefulStop",
 	},
 	{
@@ -224,12 +244,12 @@
 	},
 	{
 		name: "silentDelegateIsWaitedFor", file: "core/delegate.go",
-		old: "if !g.router.Delegation.HeardSince(delegate.Address, sent) {\n			cancel()", new: "if false {\n			cancel()",
+		old: "		default:\n			cancel()", new: "		default:",
 		pkg: "./core", test: "TestDelegatedRequests",
 	},
 	{
 		name: "oldListAfterDelegates", file: "core/delegation.go",
-		old: "return ended != 0 && since < WarmupMillis", new: "return false && since < WarmupMillis",
+		old: "if ended != 0 && since < WarmupMillis &&", new: "if false && since < WarmupMillis &&",
 		pkg: "./core", test: "TestWarmupAfterLosingDelegates",
 	},
 	{
