--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -184,14 +184,16 @@
 		"without a length": "HTTP/1.1 200 OK\r\n\r\n" + string(body),
 	} {
 		t.Run(name, func(t *testing.T) {
-			cut := len(whole)
-			server := newUpstreamServer(func(w http.ResponseWriter, _ SearchRequest) { replyAndClose(w, whole[:cut]) })
+			var sent atomic.Int64
+			sent.Store(int64(len(whole)))
+			server := newUpstreamServer(func(w http.ResponseWriter, _ SearchRequest) { replyAndClose(w, whole[:sent.Load()]) })
 			defer server.Close()
 			client := New(clock, &net.Dialer{}, core.NewCounters())
 			if _, err := client.Search(context.Background(), server.target(8), attempt); err != nil {
 				t.Errorf("the whole reply was not accepted: %v", err)
 			}
-			for cut = 0; cut < len(whole); cut++ {
+			for cut := range len(whole) {
+				sent.Store(int64(cut))
 				if _, err := client.Search(context.Background(), server.target(8), attempt); err == nil {
 					t.Errorf("cut after byte %d of %d: accepted", cut, len(whole))
 				}
