Drop connections to seeds that do not answer soon while an instance searches for the fleet

After all machines lost power, the first connection to a seed whose machine was still starting hung until TCP sent the handshake again, and gRPC failed further calls during its backoff. Callers were refused as notReady for 0.7 s. An exchange of a searching instance now times out after 200 ms, and the next one uses a new connection.

--- a/core/constants.go
+++ b/core/constants.go
@@ -311,6 +311,9 @@
 	// all instances may be starting.
 	JoinRetryMillis  = 100 * Millis(1)
 	JoinSearchMillis = 10 * Second
+	// JoinExchangeTimeoutMillis is the timeout of an exchange during that search. It is much
+	// shorter than the first retransmission of a lost TCP handshake, which takes 1 s.
+	JoinExchangeTimeoutMillis = 200 * Millis(1)
 	// delegationMillis is how long a choice of delegates is kept, unless one fails.
 	delegationMillis = 200 * Millis(1)
 	// DelegateHopMillis is the time reserved for sending a delegated request and its answer
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -67,13 +67,18 @@
 	if !ok {
 		return nil
 	}
-	limited, cancel := p.Clock.WithDeadline(ctx, p.Clock.Now()+ExchangeTimeoutMillis)
+	timeout := ExchangeTimeoutMillis
+	if p.discovering() {
+		timeout = JoinExchangeTimeoutMillis
+		if p.failing(address) {
+			// The connection may be in backoff, or its handshake may wait for a retransmission
+			// because the peer's machine was still starting. A new connection does neither.
+			p.Client.CloseConnection(address)
+		}
+	}
+	limited, cancel := p.Clock.WithDeadline(ctx, p.Clock.Now()+timeout)
 	defer cancel()
 	p.Counters.Add(CountPeerExchanges, 1)
-	if p.discovering() && p.failing(address) {
-		// Without backoff, instances that start together connect as soon as they listen.
-		p.Client.ResetBackoff(address)
-	}
 	reply, err := p.Client.Exchange(limited, address, message)
 	if err != nil {
 		p.Counters.Add(CountPeerFailures, 1)
--- a/core/peers_test.go
+++ b/core/peers_test.go
@@ -137,3 +137,55 @@
 	})
 	goleak.VerifyNone(t)
 }
+
+// bootingPeerClient is a PeerClient for one peer whose machine starts at listensAt. As with TCP, a
+// connection that was opened earlier carries nothing until the handshake is sent again.
+type bootingPeerClient struct {
+	fakePeerClient
+	clock     Clock
+	listensAt Millis
+	// openedAt is when the connection was opened, or zero if there is none.
+	openedAt Millis
+}
+
+// handshakeRetryMillis is the delay after which a lost TCP handshake is sent again.
+const handshakeRetryMillis = 1 * Second
+
+func (b *bootingPeerClient) Exchange(ctx context.Context, address string, message ExchangeMessage) (ExchangeMessage, error) {
+	if b.openedAt == 0 {
+		b.openedAt = b.clock.Now()
+	}
+	if b.openedAt < b.listensAt && b.clock.Now() < b.openedAt+handshakeRetryMillis {
+		<-ctx.Done()
+		return ExchangeMessage{}, ErrPeerUnreachable
+	}
+	return b.fakePeerClient.Exchange(ctx, address, message)
+}
+
+func (b *bootingPeerClient) CloseConnection(string) { b.openedAt = 0 }
+
+// TestSeedFoundSoonAfterPowerLoss covers a fleet whose machines all lost power: the machine of a
+// seed comes back 300 ms after this one. Callers are refused until the seed is found, so a lost
+// handshake must not delay that until its retransmission.
+func TestSeedFoundSoonAfterPowerLoss(t *testing.T) {
+	const bootDelay, maxDelay = 300 * Millis(1), 350 * Millis(1)
+	synctest.Test(t, func(t *testing.T) {
+		clock := NewClock()
+		client := &bootingPeerClient{fakePeerClient: fakePeerClient{contacted: NewSet[string](), down: NewSet[string]()}, clock: clock}
+		peers, _ := newTestPeers(&client.fakePeerClient, 1, func(Fact) {})
+		peers.Client, peers.JoinTimeout = client, Second
+		started := clock.Now()
+		client.listensAt = started + bootDelay
+		ctx, cancel := context.WithCancel(context.Background())
+		stopped := make(chan error)
+		go func() { stopped <- peers.Run(ctx) }()
+		for peers.discovering() && clock.Since(started) < 5*Second {
+			time.Sleep(time.Millisecond)
+		}
+		if found := clock.Since(started); found > bootDelay+maxDelay {
+			t.Errorf("the seed was found %d ms after it listened, want at most %d ms", found-bootDelay, maxDelay)
+		}
+		cancel()
+		<-stopped
+	})
+}
