Read the list of upstreams as soon as a message ends joining

After all machines lost power, an instance that sends requests to upstreams waited 50 to 150 ms for its next check before it read the list, and told callers meanwhile to come back after 20 ms, when they were refused again. The end of joining now wakes the reader, and an instance without a list says that it is warming up.

TestListReadAfterJoining: no read within 5 ms and not warming up before, both after.

--- a/core/delegation.go
+++ b/core/delegation.go
@@ -24,7 +24,7 @@
 }
 
 // SubscribeDelegation returns a channel that signals when this instance begins to delegate
-// requests or to send them to upstreams itself.
+// requests or to send them to upstreams itself, and when a message ends its joining.
 func (p *Peers) SubscribeDelegation() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -96,8 +96,8 @@
 
 // WarmupEnd returns when this instance is expected to know enough to send requests to
 // upstreams itself. It returns nothing if it already does. It returns a time while this
-// instance is joining, and for up to WarmupMillis after it stopped delegating, until it has
-// read the platform.
+// instance is joining, until it has received its first instance list, and for up to
+// WarmupMillis after it stopped delegating, until it has read the platform.
 func (p *Peers) WarmupEnd() Option[Millis] {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -108,7 +108,11 @@
 		}
 		return Some(until + RetryLaterMillis)
 	}
-	ended := p.currentDelegation().endedAt
+	current := p.currentDelegation()
+	if p.JoinTimeout > 0 && len(current.delegates) == 0 && p.Store.List().Revision == 0 {
+		return Some(p.Clock.Now() + RetryLaterMillis)
+	}
+	ended := current.endedAt
 	since := p.Clock.Since(ended)
 	if ended != 0 && since < WarmupMillis && p.Store.ListReadAge() > since {
 		return Some(p.Clock.Now() + RetryLaterMillis)
@@ -215,17 +219,23 @@
 		p.delegation.endedAt = now
 	}
 	if (len(before.delegates) == 0) != (len(p.delegation.delegates) == 0) {
-		for _, changed := range p.delegationChanges {
-			select {
-			case changed <- struct{}{}:
-			default:
-			}
-		}
+		p.signalDelegation()
 		p.Log.Info("delegation changed", "delegates", instanceNames(p.delegation.delegates), "senders", p.delegation.senders)
 	}
 	return p.delegation
 }
 
+// signalDelegation signals on the channels that SubscribeDelegation has returned. The caller
+// holds the lock.
+func (p *Peers) signalDelegation() {
+	for _, changed := range p.delegationChanges {
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
 func instanceNames(instances []PeerInfo) []string {
 	var names []string
 	for _, instance := range instances {
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -314,6 +314,7 @@
 // handleMessage processes a message or a reply from the peer at the address.
 func (p *Peers) handleMessage(address string, message ExchangeMessage) {
 	p.mu.Lock()
+	wasJoining := p.joining()
 	if peer, ok := p.peers[address]; ok {
 		if peer.consecutiveFailures > 0 || peer.info.Leaving != message.From.Leaving {
 			p.invalidateViews()
@@ -327,6 +328,10 @@
 	p.heardFromJoined = p.heardFromJoined || !message.Joining
 	if p.firstMessageAt == 0 {
 		p.firstMessageAt = p.Clock.Now()
+		p.invalidateViews()
+	}
+	if wasJoining && !p.joining() {
+		p.signalDelegation()
 	}
 	p.mu.Unlock()
 	p.Store.RecordPlatformContact(message.PlatformAge)
--- a/core/publications_test.go
+++ b/core/publications_test.go
@@ -332,3 +332,28 @@
 		}
 	})
 }
+
+// TestListReadAfterJoining covers an instance that can send requests to upstreams itself: it must
+// read the list of upstreams as soon as a message ends its joining, not at its next check, and say
+// until then that it is warming up, because callers that are told to come back within a few
+// milliseconds are refused again.
+func TestListReadAfterJoining(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := startPlatformWatcher(t, 2*Second)
+		time.Sleep(time.Second)
+		f.platform.mu.Lock()
+		f.platform.down = true
+		f.platform.mu.Unlock()
+		f.peers.Receive(ExchangeMessage{
+			From:    PeerInfo{Name: "weak", Zone: "z", Address: "weak", Incarnation: 1, Capacity: 90},
+			Joining: true, ConfigurationVersion: 7, ConfigurationDigest: "d",
+		})
+		time.Sleep(5 * time.Millisecond)
+		if reads := f.platform.count(KeyInstances); f.peers.Joining() || reads != 1 {
+			t.Errorf("joining %t, %d reads of the list 5 ms after the message", f.peers.Joining(), reads)
+		}
+		if _, warming := f.peers.WarmupEnd().Get(); !warming {
+			t.Error("not warming up without a list of upstreams")
+		}
+	})
+}
