Send an idempotent request to the next delegate when one does not confirm it

A delegate that has just lost power keeps its connection open and carries nothing. An instance noticed that only after the latency objective and a check, 0.3 s, and answered 502 although other delegates had room. A delegate now confirms each request by a response header before it answers. An idempotent request that is not confirmed within 50 ms goes to the next delegate; the first call is cancelled. Instances of earlier versions send no confirmation and are waited for as before.

--- a/core/counters.go
+++ b/core/counters.go
@@ -26,6 +26,9 @@
 	// received from other instances.
 	CountDelegated
 	CountDelegatedHere
+	// CountUnconfirmedDelegations counts requests that were sent to the next delegate because
+	// one did not confirm them.
+	CountUnconfirmedDelegations
 	// CountGroups counts groups of shards that other instances were asked to gather, and
 	// CountGroupsHere those gathered for other instances.
 	CountGroups
@@ -94,6 +97,7 @@
 	CountRetries:                 "retries",
 	CountDelegated:               "delegated",
 	CountDelegatedHere:           "delegatedHere",
+	CountUnconfirmedDelegations:  "unconfirmedDelegations",
 	CountGroups:                  "groups",
 	CountGroupsHere:              "groupsHere",
 	CountRetryBudgetExceeded:     "repeatsRefusedByAllowance",
--- a/core/delegate.go
+++ b/core/delegate.go
@@ -3,15 +3,24 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"sync/atomic"
 )
 
 // ErrNotDelivered means that a peer certainly did not receive a call.
 var ErrNotDelivered = errors.New("call not delivered")
 
-// DelegateClient sends requests to other instances, which answer them. Its errors wrap
-// ErrNotDelivered if the request certainly did not reach the other instance.
+// errUnconfirmed means that an instance did not confirm in time that it received a request.
+var errUnconfirmed = errors.New("receipt of the request not confirmed")
+
+// DelegateClient sends requests to other instances, which answer them.
 type DelegateClient interface {
-	Delegate(ctx context.Context, address string, request DelegatedRequest) (DelegatedAnswer, error)
+	// Delegate sends a request and returns the answer. It calls received once the instance has
+	// confirmed that it got the request. Its errors wrap ErrNotDelivered if the request
+	// certainly did not reach the instance.
+	Delegate(ctx context.Context, address string, request DelegatedRequest, received func()) (DelegatedAnswer, error)
+	// Confirms reports whether the instance at the address is known to confirm requests.
+	Confirms(address string) bool
 }
 
 // DelegateSelector selects the instances that requests are delegated to.
@@ -53,13 +62,21 @@
 }
 
 // delegate sends the request to other instances, one after the other until one of them may
-// have run it. reroute is set if a newer configuration was received from one of them. The
-// request must then be routed again.
+// have run it. An instance that did not confirm an idempotent request is passed over, too.
+// reroute is set if a newer configuration was received from one of them. The request must then
+// be routed again.
 func (g *activeRequest) delegate(ctx context.Context, delegates []PeerInfo) (answer RoutedAnswer, reroute bool) {
+	mayHaveRun := false
 	for _, delegate := range delegates {
 		answer, reroute = g.delegateTo(ctx, delegate)
 		answer.Delegate = delegate.Name
-		if reroute || answer.Outcome != OutcomeNotRun || ctx.Err() != nil || g.router.Clock.Now() >= g.deadline {
+		unconfirmed := answer.Reason == ReasonUnconfirmed
+		tryNext := answer.Outcome == OutcomeNotRun || unconfirmed
+		mayHaveRun = mayHaveRun || unconfirmed
+		if mayHaveRun && answer.Outcome == OutcomeNotRun {
+			answer.Outcome = OutcomeUnknown
+		}
+		if reroute || !tryNext || ctx.Err() != nil || g.router.Clock.Now() >= g.deadline {
 			return answer, reroute
 		}
 		g.router.Log.V(1).Info("delegate refused", "request", g.request.ID, "delegate", delegate.Name,
@@ -81,6 +98,9 @@
 		return refuseRouted(ReasonNoUpstream, RetrySoonMillis, "%s can't be reached: %v", delegate.Name, err), false
 	case err != nil && ctx.Err() != nil:
 		return RoutedAnswer{Outcome: OutcomeUnknown, Reason: ReasonTimeout, Detail: "wait for " + delegate.Name}, false
+	case errors.Is(err, errUnconfirmed):
+		g.router.Counters.Add(CountUnconfirmedDelegations, 1)
+		return RoutedAnswer{Outcome: OutcomeUnknown, Reason: ReasonUnconfirmed, Detail: err.Error(), CloseConnection: true}, false
 	case err != nil:
 		return RoutedAnswer{Outcome: OutcomeUnknown, Reason: ReasonConnectionLost, Detail: err.Error(), CloseConnection: true}, false
 	case reply.Answer.Reason != ReasonOtherConfiguration:
@@ -107,10 +127,16 @@
 func (g *activeRequest) callDelegate(ctx context.Context, delegate PeerInfo, configuration []byte) (DelegatedAnswer, error) {
 	clock := g.router.Clock
 	sent := clock.Now()
-	callCtx, cancel := clock.WithDeadline(ctx, g.deadline)
+	limitedCtx, cancel := clock.WithDeadline(ctx, g.deadline)
 	defer cancel()
+	callCtx, giveUp := context.WithCancelCause(limitedCtx)
+	defer giveUp(nil)
+	received := func() {}
 	if g.route.Idempotent {
 		defer g.watchDelegate(ctx, delegate, sent, cancel)()
+		if g.router.DelegateClient.Confirms(delegate.Address) {
+			received = g.awaitConfirmation(giveUp)
+		}
 	}
 	reply, err := g.router.DelegateClient.Delegate(callCtx, delegate.Address, DelegatedRequest{
 		Request:              g.request,
@@ -118,13 +144,34 @@
 		Configuration:        configuration,
 		Elapsed:              sent - g.request.Arrived,
 		Remaining:            g.deadline - sent,
-	})
+	}, received)
+	if err != nil && errors.Is(context.Cause(callCtx), errUnconfirmed) {
+		err = fmt.Errorf("%w by %s", errUnconfirmed, delegate.Name)
+	}
 	if err != nil && ctx.Err() == nil && (clock.Now() < g.deadline || !g.router.Delegation.HeardSince(delegate.Address, sent)) {
 		g.router.Delegation.DelegateFailed(delegate.Address, err)
 	}
 	return reply, err
 }
 
+// awaitConfirmation calls giveUp unless the returned function is called within
+// DelegateConfirmMillis. It does not if its timer fires late: this process lags then, and may
+// not have read the confirmation yet.
+func (g *activeRequest) awaitConfirmation(giveUp func(cause error)) (received func()) {
+	clock := g.router.Clock
+	started := clock.Now()
+	var confirmed atomic.Bool
+	stop := clock.AfterFunc(DelegateConfirmMillis, func() {
+		if !confirmed.Load() && clock.Since(started)-DelegateConfirmMillis < TimerSlackMillis {
+			giveUp(errUnconfirmed)
+		}
+	})
+	return func() {
+		confirmed.Store(true)
+		stop()
+	}
+}
+
 // watchDelegate checks that the delegate responds, first DelegateCheckDelayMillis after the
 // latency objective of the route and then every DelegateCheckIntervalMillis. It calls cancel
 // when the delegate does not respond. The returned function ends the checks.
--- a/core/delegate_test.go
+++ b/core/delegate_test.go
@@ -30,6 +30,9 @@
 	responds        bool
 	livenessChecks  int
 	silentFromCheck int
+	// confirms is the result of Confirms. Calls of an instance in unconfirmed are not confirmed.
+	confirms    bool
+	unconfirmed Set[string]
 	// gatherers is the result of Gatherers.
 	gatherers map[string][]PeerInfo
 }
@@ -53,8 +56,13 @@
 	return None[Millis]()
 }
 
-func (f *fakeDelegates) Delegate(ctx context.Context, address string, request DelegatedRequest) (DelegatedAnswer, error) {
+func (f *fakeDelegates) Confirms(string) bool { return f.confirms }
+
+func (f *fakeDelegates) Delegate(ctx context.Context, address string, request DelegatedRequest, received func()) (DelegatedAnswer, error) {
 	f.called = append(f.called, address)
+	if !f.unconfirmed.Has(address) {
+		received()
+	}
 	return f.handlers[address](ctx, request)
 }
 
@@ -252,3 +260,46 @@
 		}
 	})
 }
+
+// TestUnconfirmedDelegation covers a delegate that has just lost power: its connection stays open
+// and carries nothing. Without a confirmation, callers got status 502 after the objective and the
+// check of the delegate, although other delegates could have answered in time.
+func TestUnconfirmedDelegation(t *testing.T) {
+	answered := delegateAnswers(RoutedAnswer{Outcome: OutcomeAnswered, Merged: Some(MergedReply{Signatures: []string{"s"}})})
+	refused := delegateAnswers(refuseRouted(ReasonOverloaded, RetrySoonMillis, "full"))
+	cases := []struct {
+		name       string
+		route      Route
+		confirms   bool
+		a, b       delegateHandler
+		silent     Set[string]
+		outcome    Outcome
+		called     []string
+		maxElapsed Millis
+	}{
+		{"the next delegate answers", scatteredRoute(3, 0.9), true, delegateHangs, answered, NewSet("a"), OutcomeAnswered, []string{"a", "b"}, DelegateConfirmMillis},
+		{"a refusal of the next one does not prove that the first did not run it", scatteredRoute(3, 0.9), true, delegateHangs, refused, NewSet("a"), OutcomeUnknown, []string{"a", "b"}, DelegateConfirmMillis},
+		{"no delegate confirms", scatteredRoute(3, 0.9), true, delegateHangs, delegateHangs, NewSet("a", "b"), OutcomeUnknown, []string{"a", "b"}, 2 * DelegateConfirmMillis},
+		{"a confirmed request is waited for", scatteredRoute(3, 0.9), true, delegateHangs, answered, NewSet[string](), OutcomeUnknown, []string{"a"}, 200},
+		{"an instance of an earlier version does not confirm", scatteredRoute(3, 0.9), false, delegateHangs, answered, NewSet("a"), OutcomeUnknown, []string{"a"}, 200},
+		{"a request that may not be repeated stays with its delegate", plainRoute(false, 2), true, delegateHangs, answered, NewSet("a"), OutcomeUnknown, []string{"a"}, Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				f := newRouterFixture(3, 2, tc.route)
+				f.delegation = fakeDelegates{
+					delegates: []PeerInfo{{Name: "a", Address: "a"}, {Name: "b", Address: "b"}},
+					handlers:  map[string]delegateHandler{"a": tc.a, "b": tc.b}, confirms: tc.confirms, unconfirmed: tc.silent,
+				}
+				answer := f.ask(context.Background())
+				if answer.Outcome != tc.outcome || !slices.Equal(f.delegation.called, tc.called) {
+					t.Errorf("got %s, called %v; want %s, %v", answer.Outcome, f.delegation.called, tc.outcome, tc.called)
+				}
+				if f.since() > tc.maxElapsed {
+					t.Errorf("answered after %d ms, want at most %d", f.since(), tc.maxElapsed)
+				}
+			})
+		})
+	}
+}
--- a/core/request.go
+++ b/core/request.go
@@ -85,8 +85,10 @@
 	ReasonTicketReused       Reason = "ticketReused"
 	ReasonHomeLost           Reason = "ticketHomeLost"
 	ReasonUpstreamRefused    Reason = "upstreamRefused"
-	ReasonConnectionLost     Reason = "connectionLost"
-	ReasonTimeout            Reason = "timeout"
+	// ReasonUnconfirmed means that an instance did not confirm in time that it received the request.
+	ReasonUnconfirmed    Reason = "unconfirmed"
+	ReasonConnectionLost Reason = "connectionLost"
+	ReasonTimeout        Reason = "timeout"
 	// ReasonCallerLeft is the reason of an unknown outcome whose caller has disconnected.
 	ReasonCallerLeft Reason = "callerLeft"
 )
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -42,11 +42,13 @@
 
 	mu          sync.Mutex
 	connections map[string]*grpc.ClientConn
+	// confirming holds the addresses of the instances that have confirmed a request.
+	confirming core.Set[string]
 }
 
 // NewClient returns a client that opens connections with the dialer when they are first needed.
 func NewClient(clock core.Clock, counters *core.Counters, dialer *net.Dialer) *Client {
-	return &Client{clock: clock, counters: counters, dialer: dialer, connections: map[string]*grpc.ClientConn{}}
+	return &Client{clock: clock, counters: counters, dialer: dialer, connections: map[string]*grpc.ClientConn{}, confirming: core.NewSet[string]()}
 }
 
 // stub returns the gRPC client for the peer at the address. It creates the connection if
--- a/io/peer/delegate.go
+++ b/io/peer/delegate.go
@@ -6,15 +6,46 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
 	grpcpeer "google.golang.org/grpc/peer"
+	"google.golang.org/grpc/stats"
 	"google.golang.org/grpc/status"
 
 	"acaciavane/core"
 	"acaciavane/io/peer/peerpb"
 )
 
+// headerReceived is the response header by which an instance confirms, before it answers, that it
+// has received a delegated request.
+const headerReceived = "acaciavane-received"
+
+// receivedKey is the context key of the function that is called when headerReceived arrives.
+type receivedKey struct{}
+
+// notifyReceived calls the function that the context of a call holds, if the event is the arrival
+// of headerReceived.
+func notifyReceived(ctx context.Context, event *stats.InHeader) {
+	received, ok := ctx.Value(receivedKey{}).(func())
+	if ok && event.Client && len(event.Header.Get(headerReceived)) > 0 {
+		received()
+	}
+}
+
+// Confirms implements core.DelegateClient. Instances of earlier versions do not confirm requests.
+func (c *Client) Confirms(address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.confirming.Has(address)
+}
+
 // Delegate implements core.DelegateClient.
-func (c *Client) Delegate(ctx context.Context, address string, request core.DelegatedRequest) (core.DelegatedAnswer, error) {
+func (c *Client) Delegate(ctx context.Context, address string, request core.DelegatedRequest, received func()) (core.DelegatedAnswer, error) {
+	ctx = context.WithValue(ctx, receivedKey{}, func() {
+		c.mu.Lock()
+		c.confirming.Add(address)
+		c.mu.Unlock()
+		received()
+	})
 	peer, err := c.stub(address)
 	if err != nil {
 		return core.DelegatedAnswer{}, fmt.Errorf("%w: %w", core.ErrNotDelivered, err)
@@ -47,6 +78,9 @@
 	if err != nil {
 		return nil, s.malformed(err)
 	}
+	if err := grpc.SendHeader(ctx, metadata.Pairs(headerReceived, "1")); err != nil {
+		return nil, fmt.Errorf("confirm request: %w", err)
+	}
 	return toRoutedAnswer(s.handler.AnswerDelegated(ctx, request)), nil
 }
 
--- a/io/peer/delegate_test.go
+++ b/io/peer/delegate_test.go
@@ -44,7 +44,7 @@
 		for name, answer := range answers {
 			Convey("the request is transferred byte for byte, and so is an answer "+name, func() {
 				f.handler.delegatedAnswer = answer
-				got, err := f.client.Delegate(ctx, f.address, request)
+				got, err := f.client.Delegate(ctx, f.address, request, func() {})
 				So(err, ShouldBeNil)
 				So(got, ShouldResemble, answer)
 				So(f.handler.delegated, ShouldResemble, request)
@@ -52,12 +52,12 @@
 		}
 		Convey("an answer without content is malformed and does not prove that the request did not run", func() {
 			f.handler.delegatedAnswer = core.DelegatedAnswer{Answer: core.RoutedAnswer{Outcome: core.OutcomeAnswered}}
-			_, err := f.client.Delegate(ctx, f.address, request)
+			_, err := f.client.Delegate(ctx, f.address, request, func() {})
 			So(errors.Is(err, ErrMalformed), ShouldBeTrue)
 			So(errors.Is(err, core.ErrNotDelivered), ShouldBeFalse)
 		})
 		Convey("a malformed request is rejected and counted, and the client knows that it did not run", func() {
-			_, err := f.client.Delegate(ctx, f.address, core.DelegatedRequest{})
+			_, err := f.client.Delegate(ctx, f.address, core.DelegatedRequest{}, func() {})
 			So(errors.Is(err, core.ErrNotDelivered), ShouldBeTrue)
 			So(f.counters.Get(core.CountMalformedPeerMessages), ShouldEqual, 1)
 		})
@@ -67,7 +67,7 @@
 		f.close()
 		client := NewClient(core.NewClock(), f.counters, &net.Dialer{})
 		defer client.Close()
-		_, err := client.Delegate(context.Background(), f.address, request)
+		_, err := client.Delegate(context.Background(), f.address, request, func() {})
 		So(errors.Is(err, core.ErrNotDelivered), ShouldBeTrue)
 	})
 	Convey("A request is not reported as undelivered if the connection breaks after its delivery", t, func() {
@@ -77,8 +77,11 @@
 		handler := &blockingHandler{fakeHandler: &fakeHandler{}, ran: ran}
 		server := NewServer(core.NewClock(), handler, core.NewCounters(), logr.Discard())
 		go func() { _ = server.Serve(listener) }()
+		confirmed := make(chan struct{})
 		go func() {
 			<-ran
+			// The instance confirms the request before it answers it.
+			<-confirmed
 			ctx, cancel := context.WithCancel(context.Background())
 			cancel()
 			server.Stop(ctx)
@@ -87,9 +90,11 @@
 		defer client.Close()
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
-		_, err = client.Delegate(ctx, listener.Addr().String(), request)
+		So(client.Confirms(listener.Addr().String()), ShouldBeFalse)
+		_, err = client.Delegate(ctx, listener.Addr().String(), request, func() { close(confirmed) })
 		So(err, ShouldNotBeNil)
 		So(errors.Is(err, core.ErrNotDelivered), ShouldBeFalse)
+		So(client.Confirms(listener.Addr().String()), ShouldBeTrue)
 	})
 }
 
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -175,8 +175,10 @@
 func (byteCounter) HandleConn(context.Context, stats.ConnStats) {}
 
 // HandleRPC implements stats.Handler.
-func (b byteCounter) HandleRPC(_ context.Context, event stats.RPCStats) {
+func (b byteCounter) HandleRPC(ctx context.Context, event stats.RPCStats) {
 	switch payload := event.(type) {
+	case *stats.InHeader:
+		notifyReceived(ctx, payload)
 	case *stats.InPayload:
 		b.counters.Add(core.CountPeerBytes, payload.WireLength)
 	case *stats.OutPayload:
