Evacuation of availability zones

Cause: operators need to take all load from a zone by a key op/evacuate/ZONE in the store; instances ignored such keys. Beside it, a list of upstreams could be made from the events of a watch after the store had discarded its history (410) and before the list was read again. It lacked the discarded changes and had a higher revision than the full list, so that instances kept it.

Change: with evacuationMillis in the settings (bounds.evacuation-ms of the platform), the feed reads the keys with the list of upstreams and follows them through the existing watch. InstanceList.Evacuated carries the zones under the revision of the list, also between peers. Fleet selects no upstream in such a zone, checks again before sending, admits no probe, and re-evaluates waiting attempts at once. Upstreams return by slow start. A new instance takes lists of peers only after its own first read has failed.

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -131,8 +131,12 @@
 	if i.settings.Interface == operator.InterfaceRoutes {
 		i.routes = newRoutes(i, upstreams)
 		joinTimeout, joinGossipTimeout := joinTimeouts(i.settings)
+		feed := platform.NewFeed(i.settings.PlatformAddress, dialer)
+		if i.settings.EvacuationDelay > 0 {
+			feed.ReadEvacuations()
+		}
 		return sources{
-			platform:            platform.NewFeed(i.settings.PlatformAddress, dialer),
+			platform:            feed,
 			decoder:             platform.NewDecoder(),
 			probes:              i.routes.upstreams,
 			applyList:           i.routes.applyList,
@@ -165,6 +169,11 @@
 	i.store = core.NewStore(i.clock, sources.decoder, i.counters)
 	i.store.OnConfiguration(i.applyConfiguration)
 	i.store.OnInstanceList(i.logInvalidEntries)
+	if i.settings.EvacuationDelay > 0 {
+		// The zones come first, so that upstreams that the list adds are never used in one of them.
+		i.store.AwaitOwnRead()
+		i.store.OnInstanceList(core.NewEvacuation(i.fleet, i.counters, i.log).Apply)
+	}
 	i.store.OnInstanceList(sources.applyList)
 	i.peerClient = peer.NewClient(i.clock, i.counters, dialer)
 	i.peers = core.NewPeers(core.PeersConfig{
@@ -475,6 +484,7 @@
 		Refusals:         refusals,
 		Conflicts:        conflicts,
 		List:             i.store.List(),
+		EvacuatedZones:   i.fleet.EvacuatedZones(),
 		PlatformAge:      i.store.PlatformAge(),
 		PlatformReader:   i.peers.ReadsPlatform(),
 		Peers:            i.peers.State(),
--- a/cli/routes.go
+++ b/cli/routes.go
@@ -73,15 +73,22 @@
 	return restartJoinTimeout, restartGossipTimeout
 }
 
+// minReadDelay is the shortest time within which published values are put in force.
+const minReadDelay = core.Second
+
 // routesReadIntervals returns read intervals that are short enough for an instance to detect
-// an unresponsive connection to the platform and still put a published configuration in
-// force in time.
+// an unresponsive connection to the platform and still put a published configuration or
+// evacuation in force in time.
 func routesReadIntervals(settings operator.Settings) core.ReadIntervals {
+	delay := settings.MaxConfigurationDelay
+	if settings.EvacuationDelay > 0 {
+		delay = min(delay, max(settings.EvacuationDelay, minReadDelay))
+	}
 	return core.ReadIntervals{
-		Wait:       settings.MaxConfigurationDelay - watchMargin,
-		SharedWait: (settings.MaxConfigurationDelay - watchMargin) / 2,
-		MaxAge:     settings.MaxConfigurationDelay - maxAgeMargin,
-		Pause:      settings.MaxConfigurationDelay / watchPauseDivisor,
+		Wait:       delay - watchMargin,
+		SharedWait: (delay - watchMargin) / 2,
+		MaxAge:     delay - maxAgeMargin,
+		Pause:      delay / watchPauseDivisor,
 		RetryMin:   readRetryMin,
 		RetryMax:   readRetryMax,
 	}
--- a/core/configuration.go
+++ b/core/configuration.go
@@ -167,6 +167,9 @@
 	Members []Member
 	// Invalid describes entries that were left out because they can't be used.
 	Invalid []string
+	// Evacuated names the availability zones that are evacuated, in ascending order. It is nil if
+	// they are unknown, because the instance that read the list did not read them.
+	Evacuated []string
 }
 
 const (
--- a/core/counters.go
+++ b/core/counters.go
@@ -78,6 +78,8 @@
 	CountTokenFailures
 	// CountLimited counts requests refused because of request limits.
 	CountLimited
+	// CountEvacuationChanges counts the zones whose evacuation began or ended.
+	CountEvacuationChanges
 	counterCount
 )
 
@@ -124,6 +126,7 @@
 	CountTokenRequests:           "tokenRequests",
 	CountTokenFailures:           "tokenFailures",
 	CountLimited:                 "refusedByRequestLimit",
+	CountEvacuationChanges:       "evacuationChanges",
 }
 
 // String returns the name of the counter in metrics and state dumps, in camel case.
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -104,7 +104,7 @@
 	if inForce.Configuration.Newer(peer.configuration()) {
 		return peer.wantsConfiguration
 	}
-	if p.needsList(peer, p.Store.List().Revision) {
+	if p.needsList(peer, p.Store.knownListRevision()) {
 		return true
 	}
 	return peer.configuration().Newer(inForce.Configuration) && p.Clock.Now() >= p.fetchPendingUntil
@@ -183,7 +183,7 @@
 	message.Wants = p.claimFetch(peer)
 	list := p.Store.List()
 	message.ListRevision = list.Revision
-	message.WantsList = p.claimListFetch(peer, list.Revision)
+	message.WantsList = p.claimListFetch(peer, p.Store.knownListRevision())
 	if peer.wantsList && list.Revision > peer.listRevision {
 		raw, err := p.Store.EncodedList()
 		if err != nil {
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -40,6 +40,8 @@
 	services map[string]*service
 	replicas map[string]*replica
 	zones    map[string]*zoneHealth
+	// evacuated names the zones whose upstreams get no requests.
+	evacuated Set[string]
 }
 
 type service struct {
@@ -131,7 +133,9 @@
 func (f *Fleet) reuseReplica(spec Service, upstream Upstream, share int) *replica {
 	r, ok := f.replicas[upstream.Name]
 	if !ok || r.upstream.Address != upstream.Address || r.upstream.Zone != upstream.Zone || r.service != spec.Name {
-		return newReplica(spec, upstream, share, f.limitOf(upstream.Name))
+		r = newReplica(spec, upstream, share, f.limitOf(upstream.Name))
+		r.evacuated = f.evacuated.Has(upstream.Zone)
+		return r
 	}
 	r.upstream.Unlisted = upstream.Unlisted
 	if r.slots != spec.Slots || r.share != share {
--- a/core/publications.go
+++ b/core/publications.go
@@ -218,7 +218,7 @@
 	p.attemptedKeys.Add(key)
 	p.mu.Unlock()
 	if err != nil {
-		p.Store.RecordPlatformFailure()
+		p.Store.RecordPlatformFailure(key)
 		p.Counters.Add(CountPlatformFailures, 1)
 		return PublishedValue{}, err
 	}
--- a/core/replica.go
+++ b/core/replica.go
@@ -23,6 +23,9 @@
 	leavingSource string
 	leavingSince  Millis
 
+	// evacuated is set while the upstream's zone is evacuated.
+	evacuated bool
+
 	inFlight int
 	// exclusive is set while a request has the replica to itself.
 	exclusive bool
@@ -140,9 +143,10 @@
 	r.leavingSince = now
 }
 
-// routable reports whether the upstream is live and was not found unreachable.
+// routable reports whether the upstream is live, is not in an evacuated zone and was not found
+// unreachable.
 func (r *replica) routable() bool {
-	return r.phase == PhaseLive && !r.unreachable()
+	return r.phase == PhaseLive && !r.evacuated && !r.unreachable()
 }
 
 // unreachable reports whether probes have confirmed that the upstream can't be
@@ -155,9 +159,9 @@
 }
 
 // suspect reports whether a live upstream stopped replying or lost a connection, and
-// has not replied since.
+// has not replied since. Upstreams in evacuated zones are not suspects, as they must not be probed.
 func (r *replica) suspect() bool {
-	return r.phase == PhaseLive && (r.down || r.connectionLost || r.probeFailures > 0)
+	return r.phase == PhaseLive && !r.evacuated && (r.down || r.connectionLost || r.probeFailures > 0)
 }
 
 func (r *replica) serves(collection string, snapshot uint64) bool {
--- a/core/replicastate.go
+++ b/core/replicastate.go
@@ -25,6 +25,8 @@
 	// and Tokens is how many requests this instance may send now.
 	RequestLimit Option[float64]
 	Tokens       int
+	// Evacuated is set while the upstream's zone is evacuated.
+	Evacuated    bool
 	HeardAt      Millis
 	EjectedUntil Millis
 }
@@ -63,6 +65,7 @@
 		ReportedLoad:    r.load,
 		RequestLimit:    r.requestLimit.value(),
 		Tokens:          len(r.requestLimit.tokens),
+		Evacuated:       r.evacuated,
 		HeardAt:         r.heardAt,
 		EjectedUntil:    r.ejectedUntil,
 	}
--- a/core/store.go
+++ b/core/store.go
@@ -43,9 +43,12 @@
 	decoder  Decoder
 	counters *Counters
 
-	mu              sync.RWMutex
-	inForce         Option[InForce]
-	list            InstanceList
+	mu      sync.RWMutex
+	inForce Option[InForce]
+	list    InstanceList
+	// ownReadPending is set while lists of peers are held back. heldList is the newest of them.
+	ownReadPending  bool
+	heldList        InstanceList
 	refusals        []Refusal
 	conflicts       int
 	platformHeardAt Millis
@@ -156,13 +159,16 @@
 }
 
 // UpdateEncodedInstanceList decodes an instance list and stores it if it is newer. It reports
-// whether it was.
+// whether it was. A list that AwaitOwnRead holds back is stored later.
 func (s *Store) UpdateEncodedInstanceList(raw []byte) (bool, error) {
 	candidate, err := s.decoder.InstanceList(raw)
 	if err != nil {
 		s.counters.Add(CountInstanceListsRefused, 1)
 		return false, fmt.Errorf("instance list refused: %w", err)
 	}
+	if s.holdList(candidate) {
+		return false, nil
+	}
 	return s.UpdateInstanceList(candidate), nil
 }
 
@@ -173,6 +179,7 @@
 	if candidate.Revision <= s.list.Revision {
 		return false
 	}
+	candidate.keepEvacuated(s.list)
 	s.list = candidate
 	for _, apply := range s.onList {
 		apply(candidate)
@@ -243,16 +250,25 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if key == KeyInstances {
+		s.ownReadPending, s.heldList = false, InstanceList{}
 		s.listReadAt = s.clock.Now()
 		s.lastReadFailed = false
 	}
 }
 
-// RecordPlatformFailure records that this instance failed to read from the platform.
-func (s *Store) RecordPlatformFailure() {
+// RecordPlatformFailure records that this instance failed to read a value from the platform. After
+// a failed read of the instance list, the list that AwaitOwnRead has held back is stored.
+func (s *Store) RecordPlatformFailure(key string) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.lastReadFailed = true
+	held := s.heldList
+	if key == KeyInstances {
+		s.ownReadPending, s.heldList = false, InstanceList{}
+	}
+	s.mu.Unlock()
+	if key == KeyInstances && held.Revision > 0 {
+		s.UpdateInstanceList(held)
+	}
 }
 
 // ListReadAge returns how long ago this instance last read the instance list from the
--- a/core/token.go
+++ b/core/token.go
@@ -238,8 +238,8 @@
 	return None[float64]()
 }
 
-// AdmitProbe reports whether a probe may be sent to the upstream. A probe of an upstream with a
-// request limit uses up a token. If there is none, one is requested for the next probe.
+// AdmitProbe reports whether a probe may be sent to the upstream: not while its zone is evacuated. A
+// probe of an upstream with a request limit uses up a token. If there is none, one is requested for the next probe.
 func (f *Fleet) AdmitProbe(name string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -247,6 +247,9 @@
 	if !ok {
 		return true
 	}
+	if r.evacuated {
+		return false
+	}
 	now := f.clock.Now()
 	if !r.requestLimit.admits(now) {
 		f.prefetchToken(r, now)
--- a/core/zone.go
+++ b/core/zone.go
@@ -28,8 +28,12 @@
 	zone.heardAt, zone.lateAttempts = now, 0
 }
 
-// recordLate records that an attempt sent at since is late. f.mu must be held.
+// recordLate records that an attempt sent at since is late. Attempts in an evacuated zone don't
+// count, because no later reply would clear them. f.mu must be held.
 func (f *Fleet) recordLate(r *replica, since Millis) {
+	if r.evacuated {
+		return
+	}
 	zone := f.zoneOf(r)
 	if zone.heardAt >= since {
 		return
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -33,6 +33,16 @@
 		So(err, ShouldBeNil)
 		So(settings.MemoryBytes, ShouldEqual, 184<<20)
 	})
+	Convey("Evacuations are in force only where the settings of the routes interface say so", t, func() {
+		routes := strings.Replace(settingsText, `"peers"`, `"interface": "routes", "readyAddress": "127.0.0.1:6",
+			"repeats": {"ratio": 0.2, "slack": 50, "windowMillis": 10000}, "peers"`, 1)
+		settings, err := DecodeSettings("s.json", []byte(routes))
+		So(err, ShouldBeNil)
+		So(settings.EvacuationDelay, ShouldEqual, 0)
+		settings, err = DecodeSettings("s.json", []byte(strings.Replace(routes, `"peers"`, `"evacuationMillis": 5000, "peers"`, 1)))
+		So(err, ShouldBeNil)
+		So(settings.EvacuationDelay, ShouldEqual, 5*core.Second)
+	})
 	cases := []struct{ name, old, new, want string }{
 		{"an unknown field", `"zone"`, `"sone"`, "s.json:2: sone"},
 		{"a host name", `127.0.0.1:4`, `platform:4`, "platformAddress: value \"platform:4\": must be an IP number"},
--- a/io/operator/settings.go
+++ b/io/operator/settings.go
@@ -73,6 +73,9 @@
 	// FirstStart is set if all instances are being started for the first time, for
 	// InterfaceRoutes.
 	FirstStart bool
+	// EvacuationDelay is the time within which requests to the upstreams of an evacuated zone must
+	// cease, for InterfaceRoutes. If it is 0, evacuations are not in force and not read.
+	EvacuationDelay core.Millis
 	// Capacity is the processor capacity of the instance, in thousandths of a standard core.
 	Capacity int
 	// MemoryBytes is how much memory the instance may use, or 0 if the settings set no limit.
@@ -118,6 +121,7 @@
 		settings.ReadyAddress = root.Field("readyAddress").Address()
 		settings.RetryBudget = readRetryBudget(root.Field("repeats"))
 		settings.FirstStart = root.Field("firstStart").BoolOr(false)
+		settings.EvacuationDelay = core.Millis(root.Field("evacuationMillis").IntOr(0, int64(core.MaxTimeoutMillis), 0))
 		settings.GatherInZones = root.Field("gatherInZones").BoolOr(false)
 		settings.Capacity = readCapacity(root.Field("processor"))
 	}
--- a/io/operator/state.go
+++ b/io/operator/state.go
@@ -15,6 +15,8 @@
 	// Conflicts is how often two different configurations with the same version were seen.
 	Conflicts int
 	List      core.InstanceList
+	// EvacuatedZones are the zones whose upstreams get no requests.
+	EvacuatedZones []string
 	// PlatformAge is how long ago the platform was last heard from, directly or through
 	// peers.
 	PlatformAge core.Millis
@@ -48,6 +50,7 @@
 	PlatformAgeMillis int64             `json:"platformAgeMillis"`
 	Configuration     ConfigurationBody `json:"configuration"`
 	InstanceList      ListBody          `json:"instanceList"`
+	EvacuatedZones    []string          `json:"evacuatedZones"`
 	Peers             []PeerBody        `json:"peers"`
 	Upstreams         []UpstreamBody    `json:"upstreams"`
 	Verdicts          []VerdictBody     `json:"verdicts"`
@@ -111,10 +114,12 @@
 	ReportedLoad     float64             `json:"reportedLoad"`
 	// RequestLimit is the limit that the upstream names for all instances, in requests a second,
 	// or null. Tokens is how many requests this instance may send now.
-	RequestLimit     *float64 `json:"requestLimitPerSecond"`
-	Tokens           int      `json:"tokens"`
-	HeardAgoMillis   int64    `json:"heardAgoMillis"`
-	EjectedForMillis int64    `json:"ejectedForMillis"`
+	RequestLimit *float64 `json:"requestLimitPerSecond"`
+	Tokens       int      `json:"tokens"`
+	// Evacuated is set while the upstream gets no requests because its zone is evacuated.
+	Evacuated        bool  `json:"evacuated"`
+	HeardAgoMillis   int64 `json:"heardAgoMillis"`
+	EjectedForMillis int64 `json:"ejectedForMillis"`
 }
 
 // GateBody is the state of the limit on the requests in flight of one collection.
@@ -154,6 +159,7 @@
 		PlatformAgeMillis: int64(state.PlatformAge),
 		Configuration:     toConfigurationBody(state),
 		InstanceList:      ListBody{Revision: state.List.Revision, Members: len(state.List.Members)},
+		EvacuatedZones:    append([]string{}, state.EvacuatedZones...),
 		Peers:             make([]PeerBody, 0, len(state.Peers)),
 		Upstreams:         make([]UpstreamBody, 0, len(state.Upstreams)),
 		Verdicts:          make([]VerdictBody, 0, len(state.Verdicts)),
@@ -244,6 +250,7 @@
 		ReportedLoad:     upstream.ReportedLoad,
 		RequestLimit:     requestLimit,
 		Tokens:           upstream.Tokens,
+		Evacuated:        upstream.Evacuated,
 		HeardAgoMillis:   int64(now - upstream.HeardAt),
 		EjectedForMillis: int64(max(0, upstream.EjectedUntil-now)),
 	}
--- a/io/operator/story.go
+++ b/io/operator/story.go
@@ -106,7 +106,7 @@
 // dependencyMessages are the messages about the state of an instance and of the platform,
 // on which the instance's requests depend.
 var dependencyMessages = []string{
-	"platform lost", "platform regained", "readiness changed", "configuration in force", "instance started",
+	"platform lost", "platform regained", "readiness changed", "configuration in force", "evacuation changed", "instance started",
 	"settings reloaded", "log lines dropped", "tokens not received",
 }
 
--- a/standin/faults/list.go
+++ b/standin/faults/list.go
@@ -41,6 +41,76 @@
 		old: "address.Port() != 0 && ", new: "",
 		pkg: "./platform", test: "TestDecodeUpstream",
 	},
+	{
+		name: "evacuatedZoneUsed", file: "core/replica.go",
+		old: "PhaseLive && !r.evacuated && !r.unreachable()", new: "PhaseLive && !r.unreachable()",
+		pkg: "./core", test: "TestEvacuatedZoneGetsNoRequests",
+	},
+	{
+		name: "evacuatedZoneHedged", file: "core/replica.go",
+		old: "PhaseLive && !r.evacuated && !r.unreachable()", new: "PhaseLive && !r.unreachable()",
+		pkg: "./core", test: "TestRequestsDuringEvacuation",
+	},
+	{
+		name: "evacuatedZoneReachable", file: "core/replica.go",
+		old: "PhaseLive && !r.evacuated && !r.unreachable()", new: "PhaseLive && !r.unreachable()",
+		pkg: "./core", test: "TestReadinessDuringEvacuation",
+	},
+	{
+		name: "evacuatedUpstreamProbed", file: "core/token.go",
+		old: "	if r.evacuated {", new: "	if false {",
+		pkg: "./core", test: "TestEvacuatedZoneGetsNoRequests",
+	},
+	{
+		name: "upstreamAddedToEvacuatedZone", file: "core/fleet.go",
+		old: "r.evacuated = f.evacuated.Has(upstream.Zone)", new: "_ = f.evacuated",
+		pkg: "./core", test: "TestEvacuatedZoneGetsNoRequests",
+	},
+	{
+		name: "waitersIgnoreEvacuation", file: "core/evacuation.go",
+		old: "		f.regrant(name)", new: "		_ = name",
+		pkg: "./core", test: "TestWaitersDuringEvacuation",
+	},
+	{
+		name: "fullLoadAfterEvacuation", file: "core/evacuation.go",
+		old: "		r.restartedAt = now", new: "		_ = now",
+		pkg: "./core", test: "TestReturnOfEvacuatedZone",
+	},
+	{
+		name: "olderListEndsEvacuation", file: "core/store.go",
+		old: "	if candidate.Revision <= s.list.Revision {", new: "	if candidate.Revision == s.list.Revision {",
+		pkg: "./core", test: "TestEvacuationsConvergeInAnyOrder",
+	},
+	{
+		name: "unknownZonesPassedOn", file: "core/evacuation.go",
+		old: "	if l.Evacuated == nil && older.Evacuated != nil {", new: "	if false {",
+		pkg: "./core", test: "TestEvacuatedZonesOfLists",
+	},
+	{
+		name: "peerListBeforeOwnRead", file: "core/evacuation.go",
+		old: "	if !s.ownReadPending {", new: "	if true {",
+		pkg: "./core", test: "TestListsOfPeersBeforeOwnRead",
+	},
+	{
+		name: "evacuationNotWatched", file: "platform/feed.go",
+		old: "		case strings.HasPrefix(event.Key, prefixEvacuated):", new: "		case event.Key == \"\":",
+		pkg: "./platform", test: "TestFeedOfEvacuatedZones",
+	},
+	{
+		name: "evacuationMissedBetweenReads", file: "platform/feed.go",
+		old: "		revision = min(revision, zonesAt)", new: "		_ = zonesAt",
+		pkg: "./platform", test: "TestFeedOfEvacuatedZones",
+	},
+	{
+		name: "listMadeFromLaterEvents", file: "platform/feed.go",
+		old: "		case !listRead:", new: "		case !listRead && event.Key == \"\":",
+		pkg: "./platform", test: "TestWatchBeforeListIsReadAgain",
+	},
+	{
+		name: "evacuationNotApplied", file: "core/evacuation.go",
+		old: "	if list.Evacuated == nil {\n		return", new: "	if list.Revision > 0 {\n		return",
+		pkg: "./platform", test: "TestEvacuationOfZone",
+	},
 	{
 		name: "lateRequestsPassedOn", file: "core/shutdown.go",
 		old: "return s.refusing.Load()", new: "return false",
