Cold upstreams: all instances together keep to cold-per-s, within the bound of the settings

Cause: an upstream that is cold (just started, or again at any moment) crashes well above its cold-per-s, and instances sent it as much as any other.

Change: while an upstream is cold it has a request limit of cold-per-s, kept by the tokens that serve Server-Limit. Known from the list (cold-remaining-ms), from responses (X-Cold-Ms), from facts of peers (upstreamCold), and assumed for an incarnation about which nothing is known. Tokens for cold upstreams are valid for 250 ms, and coordinators grant shares of the bound in any second that add up to at most one: by the senders that each reaches of all that it heard of within ten minutes, three quarters to the first coordinator and the rest to those that take its place. Permits are checked again when they are sent. Fields that can't be read count as absent, with a counter and a log line. Without coldOverage and coldSlack in the settings, or cold-per-s in the configuration, nothing changes.

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -81,6 +81,11 @@
 	i.fleet = core.NewFleet(clock, settings.Zone, settings.Policy, i.recordFact)
 	i.fleet.OnChange(i.logUpstream)
 	i.fleet.OnLimitChange(i.logLimit)
+	i.fleet.OnColdChange(i.logCold)
+	i.fleet.OnInvalidSignals(i.logInvalidSignals)
+	if bound, ok := settings.ColdBound.Get(); ok {
+		i.fleet.SetColdBound(bound)
+	}
 	i.quarantine = core.NewQuarantine(clock, i.recordFact)
 	i.budget = core.NewTokenBudget(core.ExtraLoadShare, core.ExtraLoadBurst)
 	i.pause = core.NewPauseGuard(clock, i.counters, i.refreshView)
@@ -167,6 +172,7 @@
 	i.store.OnInstanceList(i.logInvalidEntries)
 	i.store.OnInstanceList(sources.applyList)
 	i.peerClient = peer.NewClient(i.clock, i.counters, dialer)
+	coldBound, keepCensus := i.settings.ColdBound.Get()
 	i.peers = core.NewPeers(core.PeersConfig{
 		Self:     i.self,
 		Seeds:    i.settings.Peers,
@@ -182,6 +188,7 @@
 		ExchangeInterval: sources.exchangeInterval,
 
 		ExchangePerInstance: sources.exchangePerInstance,
+		KeepCensus:          keepCensus,
 		Delegate:            sources.delegate,
 		JoinTimeout:         sources.joinTimeout,
 		JoinGossipTimeout:   sources.joinGossipTimeout,
@@ -194,6 +201,8 @@
 		Client:   i.peerClient,
 		Counters: i.counters,
 		Log:      i.log,
+
+		ColdBound: coldBound,
 	})
 	i.watcher = core.NewPlatformWatcher(core.PlatformWatcherConfig{
 		Clock:     i.clock,
@@ -258,6 +267,24 @@
 	i.log.Info("upstream no longer limited", fields...)
 }
 
+// logCold logs and counts that an upstream is treated as cold, or no longer.
+func (i *instance) logCold(change core.ColdChange) {
+	fields := []any{"upstream", change.Name, "service", change.Service, "source", change.Source}
+	if limit, cold := change.PerSecond.Get(); cold {
+		i.counters.Add(core.CountColdPeriods, 1)
+		i.log.Info("upstream cold", append(fields, "limitPerSecond", limit, "remainingMillis", int64(change.Remaining))...)
+		return
+	}
+	i.log.Info("upstream no longer cold", fields...)
+}
+
+// logInvalidSignals logs and counts what an upstream has stated about itself in a form that can't be
+// read.
+func (i *instance) logInvalidSignals(name string, fields []string) {
+	i.counters.Add(core.CountInvalidSignals, len(fields))
+	i.log.Info("invalid signals of an upstream", "upstream", name, "fields", fields)
+}
+
 // recordFact records a fact that this instance has seen. Exchanges pass it on to the peers.
 func (i *instance) recordFact(fact core.Fact) {
 	if i.facts.Merge(fact) {
@@ -277,6 +304,8 @@
 		i.orders.RecordMoved(fact)
 	case core.FactUpstreamLimit:
 		i.fleet.ApplyLimit(fact)
+	case core.FactUpstreamCold:
+		i.fleet.ApplyCold(fact)
 	}
 }
 
@@ -289,6 +318,10 @@
 		i.prober.Wake()
 	}
 	i.log.Info("configuration in force", "version", configuration.Version, "digest", configuration.Digest)
+	if len(configuration.Invalid) > 0 {
+		i.counters.Add(core.CountInvalidSignals, len(configuration.Invalid))
+		i.log.Info("invalid fields in the configuration", "fields", configuration.Invalid, "version", configuration.Version)
+	}
 }
 
 // refreshView reads from the peers, the platform and the upstreams what changed
--- a/cli/routes.go
+++ b/cli/routes.go
@@ -174,6 +174,9 @@
 		configuration.Services[n].Connections = max(service.Connections, r.sharingInstances)
 	}
 	i.fleet.Apply(configuration)
+	for _, member := range r.roster.TakeColdNews() {
+		i.fleet.ObserveListedCold(member)
+	}
 	for _, member := range r.roster.Members() {
 		phase := core.PhaseLive
 		if member.Leaving {
--- a/core/attempt.go
+++ b/core/attempt.go
@@ -27,6 +27,8 @@
 	// Load is the upstream's own measure of its load, from 0 to 1. It may be out of
 	// date or wrong.
 	Load float64
+	// Signals is set only by probes.
+	Signals UpstreamSignals
 }
 
 // Target is an upstream with what is needed to send requests to it.
--- a/core/clock.go
+++ b/core/clock.go
@@ -16,6 +16,7 @@
 const (
 	Second Millis = 1000
 	Minute Millis = 60 * Second
+	Hour   Millis = 60 * Minute
 )
 
 // Duration converts m to the standard library's duration.
--- a/core/configuration.go
+++ b/core/configuration.go
@@ -24,6 +24,8 @@
 	Collections  []Collection
 	Routes       []Route
 	Limits       CallerLimits
+	// Invalid describes fields that are ignored because they can't be read.
+	Invalid []string
 }
 
 // CallerLimits limits the size of a caller's requests and how long the caller may take.
@@ -45,7 +47,12 @@
 	// HealthPath is the path of the upstreams' health check. It is empty if they have
 	// none.
 	HealthPath string
-	Upstreams  []Upstream
+	// ColdStart is how long an upstream is cold after its start, or zero if it is not known.
+	ColdStart Millis
+	// ColdPerSecond is how many requests a second a cold upstream tolerates, or zero if the
+	// service sets no bound.
+	ColdPerSecond float64
+	Upstreams     []Upstream
 }
 
 // Upstream is one replica of a service.
@@ -205,6 +212,7 @@
 	// Service and Slots are set only for an upstream that the configuration does not name.
 	Service string
 	Slots   int
-	// SlowStartRemaining is how much longer a recently started upstream will respond slowly.
+	// SlowStartRemaining is how much longer the upstream will remain cold: it responds slowly and
+	// tolerates few requests. It is negative if the entry does not state it in a valid way.
 	SlowStartRemaining Millis
 }
--- a/core/constants.go
+++ b/core/constants.go
@@ -277,6 +277,39 @@
 	TokenBucketIdleMillis = 1 * Minute
 )
 
+// Cold upstreams.
+const (
+	// ColdTokenTTLMillis is how long after its request a token for a cold upstream may be used. The
+	// users' bound is on the requests of any second, so it is shorter than TokenTTLMillis.
+	ColdTokenTTLMillis = 250 * Millis(1)
+	// ColdBurstMillis is the time for which a bucket saves up tokens for a cold upstream.
+	ColdBurstMillis = 100 * Millis(1)
+	// ColdPrimaryShare is the share of the bound that the coordinator that is preferred to all
+	// others may use. The rest is for those that take its place.
+	ColdPrimaryShare = 0.75
+	// ColdSubstituteShare times the share of a coordinator is that of the one next to it. The sum of
+	// all such shares is 1/(1-ColdSubstituteShare), which is 1/ColdPrimaryShare.
+	ColdSubstituteShare = 0.25
+	// ColdLoneShare is the share of an instance that has heard from no other, though it should. It
+	// fits into what the coordinator of the others leaves.
+	ColdLoneShare = 0.125
+	// ColdNoShareMillis is the wait that a coordinator states whose share is not worth a request.
+	ColdNoShareMillis = 1 * Second
+	// ColdRepublishMillis is how much later the end of a cold period must be than the newest fact
+	// about it for another fact.
+	ColdRepublishMillis = 1 * Second
+	// CensusTTLMillis is how long an instance that was not heard from again counts in the shares of
+	// tokens for cold upstreams. It may be on the other side of a division of the fleet.
+	CensusTTLMillis = 10 * Minute
+	// CensusSlackMillis is added to the time of two exchanges, after which an instance that was not
+	// heard from counts as out of reach, and to that time again until it no longer counts as a
+	// coordinator of others.
+	CensusSlackMillis = 1 * Second
+	// RampMinFraction is the fraction of its concurrency limit with which an upstream returns after
+	// a cold period. It rises to the whole over SlowStartMillis.
+	RampMinFraction = 0.25
+)
+
 // Aggregators: instances that send requests to upstreams on behalf of others.
 const (
 	// AggregatorCapacityRatio is the largest ratio of the highest capacity in the fleet to the
--- a/core/counters.go
+++ b/core/counters.go
@@ -78,6 +78,10 @@
 	CountTokenFailures
 	// CountLimited counts requests refused because of request limits.
 	CountLimited
+	// CountColdPeriods counts upstreams that this instance began to treat as cold.
+	CountColdPeriods
+	// CountInvalidSignals counts statements of upstreams about themselves that can't be read.
+	CountInvalidSignals
 	counterCount
 )
 
@@ -124,6 +128,8 @@
 	CountTokenRequests:           "tokenRequests",
 	CountTokenFailures:           "tokenFailures",
 	CountLimited:                 "refusedByRequestLimit",
+	CountColdPeriods:             "coldPeriods",
+	CountInvalidSignals:          "invalidSignals",
 }
 
 // String returns the name of the counter in metrics and state dumps, in camel case.
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -153,6 +153,7 @@
 	}
 	result := routedResult{permit: permit, reply: reply}
 	permit.RecordLimit(reply.Limit)
+	permit.RecordSignals(reply.Signals)
 	if err != nil {
 		result.failure = attemptFailure(err)
 		if reply.Status != 0 {
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -228,7 +228,7 @@
 	if p.Delegate {
 		moveLargestFirst(known, KnownPeerSample/2)
 	}
-	return known[:min(len(known), KnownPeerSample)]
+	return append(known[:min(len(known), KnownPeerSample)], p.census.sampleLost(now)...)
 }
 
 // moveLargestFirst moves the count instances with the greatest capacity to the front,
@@ -251,6 +251,9 @@
 	now := p.Clock.Now()
 	for _, k := range known {
 		address := k.Info.Address
+		if address != p.Self.Address {
+			p.census.record(k.Info, now-k.Age)
+		}
 		if address == "" || address == p.Self.Address || k.Age > KnownPeerTTLMillis {
 			continue
 		}
@@ -317,6 +320,7 @@
 			p.Log.Info("peer heard", "peer", message.From.Name, "address", address, "incarnation", message.From.Incarnation)
 		}
 		peer.update(message, p.Self.Incarnation, p.Clock.Now())
+		p.census.record(message.From, p.Clock.Now())
 	}
 	p.learnPeers(message.Known)
 	p.heardFromJoined = p.heardFromJoined || !message.Joining
--- a/core/facts.go
+++ b/core/facts.go
@@ -19,6 +19,8 @@
 	FactTicketsMoved FactKind = "ticketsMoved"
 	// FactUpstreamLimit reports the request limit of an upstream, or its end.
 	FactUpstreamLimit FactKind = "upstreamLimit"
+	// FactUpstreamCold reports how long an upstream will remain cold.
+	FactUpstreamCold FactKind = "upstreamCold"
 )
 
 // Fact is an event that one instance has observed and gossips to the others.
@@ -28,8 +30,8 @@
 	// minted the tickets.
 	Subject string
 	// Stamp orders the facts of one kind on one subject; a higher one replaces a lower
-	// one. It is the upstream's incarnation, the time of the verdict or the takeover, or the
-	// number of the change of the request limit.
+	// one. It is the upstream's incarnation, the time of the verdict or the takeover, the
+	// number of the change of the request limit, or the end of the cold period in seconds.
 	Stamp uint64
 	// Verdict is set only for FactVerdict.
 	Verdict Verdict
@@ -40,10 +42,13 @@
 	// FactTicketsMoved.
 	Address string
 	// Incarnation is the upstream's incarnation, and LimitPerSecond its limit if Limited is set.
-	// They are set only for FactUpstreamLimit.
+	// They are set only for FactUpstreamLimit, Incarnation also for FactUpstreamCold.
 	Incarnation    uint64
 	Limited        bool
 	LimitPerSecond float64
+	// ColdRemaining is the time for which the upstream remains cold, from when the fact was first
+	// observed. It is set only for FactUpstreamCold.
+	ColdRemaining Millis
 	// Age is how long ago the fact was first observed.
 	Age Millis
 }
@@ -58,7 +63,7 @@
 	if f.Kind == FactVerdict {
 		return VerdictTTLMillis
 	}
-	return FactTTLMillis
+	return max(FactTTLMillis, f.ColdRemaining)
 }
 
 type factKey struct {
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -25,6 +25,12 @@
 	onChange func(UpstreamChange)
 	// onLimitChange, if set, is called when the request limit of an upstream changes.
 	onLimitChange func(LimitChange)
+	// coldBound is the bound on requests to cold upstreams, if one is in force.
+	coldBound Option[ColdBound]
+	// onColdChange, if set, is called when an upstream begins or ceases to be treated as cold.
+	onColdChange func(ColdChange)
+	// onInvalidSignals, if set, is called when an upstream states something that can't be read.
+	onInvalidSignals func(name string, fields []string)
 
 	// alerts signals that an upstream may have become unreachable.
 	alerts chan struct{}
@@ -129,6 +135,7 @@
 // reuseReplica returns the known replica with its state, or a new one if the
 // upstream is new or its address, zone or service has changed.
 func (f *Fleet) reuseReplica(spec Service, upstream Upstream, share int) *replica {
+	f.limitOf(upstream.Name).cold.configure(f.coldLimit(spec), spec.ColdStart, f.clock.Now())
 	r, ok := f.replicas[upstream.Name]
 	if !ok || r.upstream.Address != upstream.Address || r.upstream.Zone != upstream.Zone || r.service != spec.Name {
 		return newReplica(spec, upstream, share, f.limitOf(upstream.Name))
@@ -195,6 +202,7 @@
 	}
 	wasLeaving := r.phase == PhaseLeaving && r.incarnation == status.Incarnation
 	r.update(status, source, f.clock.Now())
+	f.checkCold(r, source)
 	if source == sourceUpstream {
 		f.recordReply(r, f.clock.Now())
 	}
--- a/core/limit.go
+++ b/core/limit.go
@@ -69,6 +69,8 @@
 	stampedAt Millis
 	// sent counts the attempts since the last change.
 	sent int
+	// cold is what is known about the coldness of the upstream, during which it also has a limit.
+	cold coldState
 
 	// tokens holds the times at which the tokens expire, in ascending order.
 	tokens []Millis
@@ -102,16 +104,22 @@
 	return false
 }
 
-// end removes the limit.
+// end removes the limit that the upstream has named.
 func (l *upstreamLimit) end() {
 	l.limited, l.perSecond = false, 0
+	l.dropTokens()
+}
+
+// dropTokens discards the tokens, and what is known about when there will be others.
+func (l *upstreamLimit) dropTokens() {
 	l.tokens, l.wanted, l.blockedUntil = nil, 0, 0
 }
 
-// resetFor removes the limit of an earlier incarnation.
-func (l *upstreamLimit) resetFor(incarnation uint64) {
+// resetFor discards what is known about an earlier incarnation.
+func (l *upstreamLimit) resetFor(incarnation uint64, now Millis) {
 	if incarnation > l.incarnation {
 		l.end()
+		l.cold.reset(now)
 		l.incarnation = incarnation
 	}
 }
@@ -127,7 +135,7 @@
 	}
 }
 
-// value returns the limit in requests a second, or nothing if there is none.
+// value returns the limit that the upstream names, in requests a second, or nothing if there is none.
 func (l *upstreamLimit) value() Option[float64] {
 	if !l.limited {
 		return None[float64]()
@@ -135,20 +143,40 @@
 	return Some(l.perSecond)
 }
 
+// effective returns the limit in force, in requests a second, or nothing if there is none. It is the
+// lower one if the upstream is cold and also names a limit.
+func (l *upstreamLimit) effective(now Millis) Option[float64] {
+	switch {
+	case !l.cold.active(now):
+		return l.value()
+	case l.limited:
+		return Some(min(l.perSecond, l.cold.perSecond))
+	}
+	return Some(l.cold.perSecond)
+}
+
+// needsToken reports whether a request to the upstream uses up a token.
+func (l *upstreamLimit) needsToken(now Millis) bool {
+	return l.limited || l.cold.active(now)
+}
+
 // admits reports whether a request may be sent now.
 func (l *upstreamLimit) admits(now Millis) bool {
-	return !l.limited || (len(l.tokens) > 0 && l.tokens[len(l.tokens)-1] > now)
+	return !l.needsToken(now) || (len(l.tokens) > 0 && l.tokens[len(l.tokens)-1] > now)
 }
 
-// use uses up the token that expires first. admits must have returned true.
-func (l *upstreamLimit) use(now Millis) {
+// use uses up the token that expires first, and returns when it expires. It returns zero if no token
+// is needed. admits must have returned true.
+func (l *upstreamLimit) use(now Millis) Millis {
 	l.sent++
-	if !l.limited {
-		return
+	if !l.needsToken(now) {
+		return 0
 	}
 	l.tokens = slices.DeleteFunc(l.tokens, func(expires Millis) bool { return expires <= now })
+	expires := l.tokens[0]
 	l.tokens = l.tokens[1:]
 	l.prefetchAt = 0
+	return expires
 }
 
 // pending returns how many tokens are to be requested or have been.
@@ -177,7 +205,7 @@
 func (f *Fleet) retainLimits() {
 	now := f.clock.Now()
 	for name, limit := range f.limits {
-		if _, known := f.replicas[name]; !known && now-limit.stampedAt > FactTTLMillis {
+		if _, known := f.replicas[name]; !known && now-max(limit.stampedAt, limit.cold.statedAt) > FactTTLMillis {
 			delete(f.limits, name)
 		}
 	}
@@ -224,7 +252,7 @@
 	if fact.Incarnation < limit.incarnation {
 		return
 	}
-	limit.resetFor(fact.Incarnation)
+	limit.resetFor(fact.Incarnation, now)
 	statement := LimitStatement{Kind: LimitNone}
 	if fact.Limited {
 		statement = LimitStatement{Kind: LimitNamed, PerSecond: fact.LimitPerSecond}
--- a/core/limitfleet_test.go
+++ b/core/limitfleet_test.go
@@ -24,12 +24,13 @@
 
 // limitInstance is one instance of a limitFleet.
 type limitInstance struct {
-	info   PeerInfo
-	fleet  *Fleet
-	peers  *Peers
-	tokens *TokenKeeper
-	stop   context.CancelFunc
-	done   sync.WaitGroup
+	info     PeerInfo
+	fleet    *Fleet
+	peers    *Peers
+	tokens   *TokenKeeper
+	counters *Counters
+	stop     context.CancelFunc
+	done     sync.WaitGroup
 }
 
 // limitFleet runs instances that share upstreams with request limits. They exchange messages over a
@@ -57,13 +58,25 @@
 	served, refused int
 	maxWait         Millis
 	callers         sync.WaitGroup
+	// configure, if set, puts a configuration in force at an instance that starts. storeDown is set
+	// while it can't read the list.
+	configure func(*limitFleet, *limitInstance)
+	storeDown bool
+	// signals, if set, returns what a response of the upstream states about it.
+	signals func(name string) UpstreamSignals
 }
 
 // newLimitFleet starts the instances, in zones z0, z1 and z2, and one upstream in each zone.
 func newLimitFleet(instances int) *limitFleet {
+	return newLimitFleetWith(instances, nil)
+}
+
+// newLimitFleetWith is newLimitFleet with another configuration.
+func newLimitFleetWith(instances int, configure func(*limitFleet, *limitInstance)) *limitFleet {
 	l := &limitFleet{
-		clock:  NewClockFrom(func() Millis { return Millis(time.Now().UnixMilli()) }),
-		random: rand.New(rand.NewPCG(1, 2)), byAddress: map[string]*limitInstance{}, cut: NewSet[string](), half: NewSet[string](),
+		configure: configure,
+		clock:     NewClockFrom(func() Millis { return Millis(time.Now().UnixMilli()) }),
+		random:    rand.New(rand.NewPCG(1, 2)), byAddress: map[string]*limitInstance{}, cut: NewSet[string](), half: NewSet[string](),
 		statements: map[string]LimitStatement{}, arrivals: map[string][]Millis{},
 	}
 	l.started = l.clock.Now()
@@ -84,18 +97,24 @@
 	}}
 	network := limitNetwork{fleet: l, from: i.info.Address}
 	facts, counters := NewFactLog(l.clock), NewCounters()
+	i.counters = counters
 	i.fleet = NewFleet(l.clock, i.info.Zone, Policy{}, func(fact Fact) { facts.Merge(fact) })
 	i.peers = NewPeers(PeersConfig{
 		Self: i.info, Seeds: []string{"a0", "a1", "a2"}, Clock: l.clock, Client: network, Store: newTestStore(),
 		Facts: facts, Counters: counters, Log: logr.Discard(), ExchangeInterval: 2 * Second,
 		ExchangePerInstance: 50, Delegate: true,
-		Apply: func(fact Fact) { i.fleet.ApplyLimit(fact) },
+		KeepCensus: l.configure != nil,
+		Apply:      i.applyFact,
 	})
 	i.tokens = NewTokenKeeper(TokenKeeperConfig{
 		Self: i.info.Address, Clock: l.clock, Fleet: i.fleet, Peers: i.peers, Client: network, Counters: counters, Log: logr.Discard(),
+		ColdBound: testColdBound,
 	})
-	configuration := singleServiceConfiguration(3, 4, 64, 1)
-	i.fleet.Apply(configuration)
+	if l.configure == nil {
+		i.fleet.Apply(singleServiceConfiguration(3, 4, 64, 1))
+	} else {
+		l.configure(l, i)
+	}
 	for n := range 3 {
 		i.fleet.ObserveListed(fmt.Sprintf("u%d", n), 1, PhaseLive)
 	}
@@ -109,6 +128,16 @@
 	return i
 }
 
+// applyFact applies a fact that another instance has seen.
+func (i *limitInstance) applyFact(fact Fact) {
+	switch fact.Kind {
+	case FactUpstreamLimit:
+		i.fleet.ApplyLimit(fact)
+	case FactUpstreamCold:
+		i.fleet.ApplyCold(fact)
+	}
+}
+
 // restart replaces an instance by one that knows nothing, after the pause.
 func (l *limitFleet) restart(number int, pause Millis) {
 	l.kill(number)
@@ -281,6 +310,9 @@
 	statement := l.statements[name]
 	l.mu.Unlock()
 	permit.RecordLimit(statement)
+	if l.signals != nil {
+		permit.RecordSignals(l.signals(name))
+	}
 	permit.Complete()
 }
 
@@ -298,12 +330,17 @@
 // maxArrivals returns the largest number of requests at an upstream within any limitWindow between
 // two times.
 func (l *limitFleet) maxArrivals(name string, from, to Millis) int {
+	return l.maxArrivalsWithin(name, from, to, limitWindow)
+}
+
+// maxArrivalsWithin is maxArrivals for windows of another length.
+func (l *limitFleet) maxArrivalsWithin(name string, from, to, window Millis) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	most, end := 0, 0
 	times := l.arrivals[name]
 	for n, start := range times {
-		for end < len(times) && times[end] < min(start+limitWindow, to) {
+		for end < len(times) && times[end] < min(start+window, to) {
 			end++
 		}
 		if start >= from && start < to {
--- a/core/message.go
+++ b/core/message.go
@@ -81,6 +81,8 @@
 	Load Option[UpstreamLoad]
 	// Limit is what the upstream said about its request limit.
 	Limit LimitStatement
+	// Signals is what the upstream stated about itself.
+	Signals UpstreamSignals
 }
 
 // Success reports whether the upstream answered the request, with a 2xx status.
--- a/core/peers.go
+++ b/core/peers.go
@@ -49,6 +49,8 @@
 	// JoinGossipTimeout is the maximum time that it waits after its first message from another
 	// instance.
 	JoinGossipTimeout Millis
+	// KeepCensus remembers instances that were not heard from of late, for ColdShare.
+	KeepCensus bool
 	// Delegate lets an instance delegate requests to others, which send them to upstreams.
 	Delegate bool
 	// Apply is called with each fact that this instance did not know.
@@ -79,6 +81,8 @@
 	heardFromJoined bool
 	// firstMessageAt is the time of the first message from another instance, or zero.
 	firstMessageAt Millis
+	// census is nil unless KeepCensus is set.
+	census *census
 	// livenessChecks lets requests share the exchange that checks whether a peer responds.
 	livenessChecks singleflight.Group
 	// relink signals that a new instance was learned of and the links must be recomputed.
@@ -123,6 +127,9 @@
 	config.Seeds = slices.Clone(config.Seeds)
 	p := &Peers{PeersConfig: config, peers: map[string]*peerState{}, tasks: map[string]peerTask{}, relink: make(chan struct{}, 1)}
 	p.startedAt = config.Clock.Now()
+	if config.KeepCensus {
+		p.census = newCensus()
+	}
 	for _, address := range config.Seeds {
 		if address != config.Self.Address {
 			p.peers[address] = &peerState{address: address}
--- a/core/permit.go
+++ b/core/permit.go
@@ -9,7 +9,11 @@
 	replica *replica
 	target  Target
 	// since is when the permit was granted.
-	since    Millis
+	since Millis
+	// tokenExpires is when the token that the permit has used up expires. It is zero if no token
+	// was needed.
+	tokenExpires Millis
+
 	want     Want
 	released bool
 }
@@ -27,7 +31,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	current, known := f.replicas[p.target.Name]
-	return known && current == p.replica && p.replica.routable()
+	return known && current == p.replica && p.replica.routable() && !p.outdated(f.clock.Now())
+}
+
+// outdated reports whether the upstream is cold and the permit has no token that is still valid: the
+// upstream has turned cold since the permit was granted, or the token has expired.
+func (p *Permit) outdated(now Millis) bool {
+	return p.replica.requestLimit.cold.active(now) && p.tokenExpires <= now
 }
 
 // confirm returns a function that waits until a suspension of the process, if there was one, is
--- a/core/prober.go
+++ b/core/prober.go
@@ -202,7 +202,9 @@
 	}
 	limited, cancel := p.clock.WithDeadline(ctx, p.clock.Now()+ProbeTimeoutMillis)
 	defer cancel()
+	sentAt := p.clock.Now()
 	status, err := p.client.Probe(limited, target)
+	p.recordSignals(target, status, err, sentAt)
 	switch {
 	case err == nil:
 		p.fleet.Observe(target.Name, status)
@@ -214,6 +216,16 @@
 	p.mu.Unlock()
 }
 
+// recordSignals passes what the response to a probe states about the upstream to the fleet. An error of
+// the probe may hold a response, too.
+func (p *Prober) recordSignals(target Target, status UpstreamStatus, err error, sentAt Millis) {
+	var failure *AttemptError
+	if errors.As(err, &failure) {
+		status, _ = failure.Status.Get()
+	}
+	p.fleet.RecordSignals(target.Name, target.Incarnation, status.Signals, sentAt)
+}
+
 // inconclusive reports whether the error of a probe leaves open if the upstream can be
 // reached: the probe was not sent, or the connection was open and then broke.
 func inconclusive(err error) bool {
--- a/core/replica.go
+++ b/core/replica.go
@@ -126,7 +126,7 @@
 	r.failures = 0
 	r.ejections = 0
 	r.ejectedUntil = 0
-	r.requestLimit.resetFor(incarnation)
+	r.requestLimit.resetFor(incarnation, now)
 	r.restartedAt = now
 }
 
@@ -173,16 +173,32 @@
 	return min(r.share, int(math.Floor(r.limit)))
 }
 
+// rampedCapacity returns how many requests of this instance may be in flight now. After a cold period
+// it rises to the whole capacity over SlowStartMillis.
+func (r *replica) rampedCapacity(now Millis) int {
+	age := now - r.returnedAt()
+	if age < 0 || age >= SlowStartMillis {
+		return r.capacity()
+	}
+	fraction := RampMinFraction + (1-RampMinFraction)*float64(age)/float64(SlowStartMillis)
+	return int(math.Ceil(float64(r.capacity()) * fraction))
+}
+
+// returnedAt returns when the upstream last returned to use after a cold period, or zero.
+func (r *replica) returnedAt() Millis {
+	return r.requestLimit.cold.end()
+}
+
 // hasCapacity reports whether one more request may be sent. An exclusive request
 // requires that no other request of this instance is in flight.
-func (r *replica) hasCapacity(exclusive bool) bool {
+func (r *replica) hasCapacity(exclusive bool, now Millis) bool {
 	if r.exclusive {
 		return false
 	}
 	if exclusive {
 		return r.inFlight == 0 && r.share > 0
 	}
-	return r.inFlight < r.capacity()
+	return r.inFlight < r.rampedCapacity(now)
 }
 
 // expectedLatency returns the latency to expect now, in milliseconds. The part of a
@@ -201,7 +217,11 @@
 	if r.upstream.Zone == zone {
 		score *= LocalBias
 	}
-	if age := now - r.restartedAt; r.restartedAt > 0 && age < SlowStartMillis {
+	started := r.restartedAt
+	if returned := r.returnedAt(); returned <= now {
+		started = max(started, returned)
+	}
+	if age := now - started; started > 0 && age < SlowStartMillis {
 		remaining := 1 - float64(age)/float64(SlowStartMillis)
 		score *= 1 + (SlowStartFactor-1)*remaining
 	}
--- a/core/replicastate.go
+++ b/core/replicastate.go
@@ -25,8 +25,12 @@
 	// and Tokens is how many requests this instance may send now.
 	RequestLimit Option[float64]
 	Tokens       int
-	HeardAt      Millis
-	EjectedUntil Millis
+	// ColdLimit is the limit while the upstream is cold, in requests a second, and ColdRemaining the
+	// time until that ends, or zero if the end is not known.
+	ColdLimit     Option[float64]
+	ColdRemaining Millis
+	HeardAt       Millis
+	EjectedUntil  Millis
 }
 
 // State returns the state of all upstreams, sorted by name.
@@ -35,13 +39,13 @@
 	defer f.mu.Unlock()
 	states := make([]ReplicaState, 0, len(f.replicas))
 	for _, r := range f.replicas {
-		states = append(states, r.state())
+		states = append(states, r.state(f.clock.Now()))
 	}
 	slices.SortFunc(states, func(a, b ReplicaState) int { return cmp.Compare(a.Name, b.Name) })
 	return states
 }
 
-func (r *replica) state() ReplicaState {
+func (r *replica) state(now Millis) ReplicaState {
 	snapshots := make(map[string][]uint64, len(r.snapshots))
 	for collection, ids := range r.snapshots {
 		snapshots[collection] = ids.Sorted()
@@ -63,6 +67,8 @@
 		ReportedLoad:    r.load,
 		RequestLimit:    r.requestLimit.value(),
 		Tokens:          len(r.requestLimit.tokens),
+		ColdLimit:       r.requestLimit.cold.limit(now),
+		ColdRemaining:   r.requestLimit.cold.remaining(now),
 		HeardAt:         r.heardAt,
 		EjectedUntil:    r.ejectedUntil,
 	}
--- a/core/roster.go
+++ b/core/roster.go
@@ -19,6 +19,8 @@
 
 	mu      sync.Mutex
 	entries map[string]rosterEntry
+	// coldNews names the upstreams whose entries state something new about their coldness.
+	coldNews Set[string]
 }
 
 type rosterEntry struct {
@@ -29,7 +31,7 @@
 
 // NewRoster returns an empty roster.
 func NewRoster(clock Clock) *Roster {
-	return &Roster{clock: clock, entries: map[string]rosterEntry{}}
+	return &Roster{clock: clock, entries: map[string]rosterEntry{}, coldNews: NewSet[string]()}
 }
 
 // Update applies a newer list. It returns the names of the upstreams that are new or
@@ -44,8 +46,13 @@
 			continue
 		}
 		listed.Add(m.Name)
-		if known, ok := r.entries[m.Name]; !ok || known.member.Incarnation != m.Incarnation {
+		known, ok := r.entries[m.Name]
+		if !ok || known.member.Incarnation != m.Incarnation {
 			appeared = append(appeared, m.Name)
+			r.coldNews.Add(m.Name)
+		}
+		if known.member.SlowStartRemaining != m.SlowStartRemaining {
+			r.coldNews.Add(m.Name)
 		}
 		r.entries[m.Name] = rosterEntry{member: m}
 	}
@@ -74,6 +81,21 @@
 	return expired
 }
 
+// TakeColdNews returns the upstreams whose entries state something new about their coldness since the
+// last call. An entry that the list repeats unchanged is as old as when it was first seen.
+func (r *Roster) TakeColdNews() []Member {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var news []Member
+	for _, name := range r.coldNews.Sorted() {
+		if entry, ok := r.entries[name]; ok {
+			news = append(news, entry.member)
+		}
+	}
+	clear(r.coldNews)
+	return news
+}
+
 // HasMissing reports whether the roster holds upstreams that are missing from the list.
 func (r *Roster) HasMissing() bool {
 	r.mu.Lock()
--- a/core/selection.go
+++ b/core/selection.go
@@ -45,7 +45,7 @@
 		return nil
 	}
 	best := f.best(s, candidates, want, now)
-	if !best.hasCapacity(want.Exclusive) {
+	if !best.hasCapacity(want.Exclusive, now) {
 		return nil
 	}
 	return f.grantPermit(best, want, now)
@@ -134,9 +134,9 @@
 // grantPermit occupies capacity of the replica for one request. f.mu must be held.
 func (f *Fleet) grantPermit(r *replica, want Want, now Millis) *Permit {
 	r.inFlight++
-	r.requestLimit.use(now)
+	expires := r.requestLimit.use(now)
 	r.exclusive = want.Exclusive
-	return &Permit{fleet: f, replica: r, target: r.target(), since: now, want: want}
+	return &Permit{fleet: f, replica: r, target: r.target(), since: now, tokenExpires: expires, want: want}
 }
 
 // scoreOf estimates the time until the replica replies. For a replica without free
@@ -147,7 +147,7 @@
 		return rand.Float64()
 	}
 	score := r.score(f.zone, float64(s.window.quantile(MedianQuantile).Or(0)), now)
-	if !r.hasCapacity(want.Exclusive) {
+	if !r.hasCapacity(want.Exclusive, now) {
 		score *= float64(2 + len(s.waiters))
 	}
 	return score
@@ -164,7 +164,7 @@
 	}
 	now := f.clock.Now()
 	for _, r := range f.eligible(s, want) {
-		if now-r.usedAt > ExploreIntervalMillis && !r.down && !r.ejected(now) && r.hasCapacity(false) && r.requestLimit.admits(now) {
+		if now-r.usedAt > ExploreIntervalMillis && !r.down && !r.ejected(now) && r.hasCapacity(false, now) && r.requestLimit.admits(now) {
 			return f.grantPermit(r, want, now)
 		}
 	}
--- a/core/token.go
+++ b/core/token.go
@@ -163,7 +163,7 @@
 		delete(f.wanting, name)
 		limit.requested, limit.wanted = min(limit.wanted, MaxTokensPerRequest), 0
 		wants[r.upstream.Zone] = append(wants[r.upstream.Zone],
-			TokenWant{Upstream: name, PerSecond: limit.perSecond, Count: limit.requested})
+			TokenWant{Upstream: name, PerSecond: limit.effective(f.clock.Now()).Or(0), Count: limit.requested})
 	}
 	return wants
 }
@@ -188,16 +188,25 @@
 // addGrant adds the tokens granted for one upstream. If there are fewer than wanted, the upstream is
 // blocked until there is another one. f.mu must be held.
 func (f *Fleet) addGrant(want TokenWant, grant TokenGrant, sentAt Millis) {
-	limit := f.limitOf(want.Upstream)
+	limit, now := f.limitOf(want.Upstream), f.clock.Now()
 	limit.requested = 0
-	if !limit.limited {
+	perSecond, limited := limit.effective(now).Get()
+	if !limited {
 		return
 	}
+	ttl := TokenTTLMillis
+	if limit.cold.active(now) {
+		ttl = ColdTokenTTLMillis
+		if want.PerSecond > perSecond {
+			// The tokens were granted by a rate from before the upstream turned cold.
+			grant.Count = 0
+		}
+	}
 	for range min(grant.Count, want.Count) {
-		limit.tokens = append(limit.tokens, sentAt+TokenTTLMillis)
+		limit.tokens = append(limit.tokens, sentAt+ttl)
 	}
 	if grant.Count < want.Count {
-		limit.blockedUntil = f.clock.Now() + max(1, grant.Wait)
+		limit.blockedUntil = now + max(1, grant.Wait)
 		f.retryWhenOpen(want.Upstream, grant.Wait)
 	}
 }
--- a/core/tokenbucket.go
+++ b/core/tokenbucket.go
@@ -29,6 +29,13 @@
 // Take takes up to count tokens from the bucket of an upstream, which is filled with perSecond
 // tokens a second. It returns how many it took and the time until there will be another one.
 func (b *TokenBuckets) Take(upstream string, perSecond float64, count int) (int, Millis) {
+	rate := max(perSecond, MinTokenRate)
+	return b.take(upstream, rate, 1+rate*float64(TokenBurstMillis)/float64(Second), count)
+}
+
+// take takes up to count tokens from the bucket of an upstream, which is filled with rate tokens a
+// second and holds no more than size. A bucket of size zero grants none.
+func (b *TokenBuckets) take(upstream string, rate, size float64, count int) (int, Millis) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.clock.Now()
@@ -38,10 +45,11 @@
 		bucket = &tokenBucket{updatedAt: now}
 		b.buckets[upstream] = bucket
 	}
-	rate := max(perSecond, MinTokenRate)
-	size := 1 + rate*float64(TokenBurstMillis)/float64(Second)
 	bucket.tokens = min(size, bucket.tokens+rate*float64(now-bucket.updatedAt)/float64(Second))
 	bucket.updatedAt = now
+	if size < 1 {
+		return 0, ColdNoShareMillis
+	}
 	taken := max(0, min(count, int(math.Floor(bucket.tokens))))
 	bucket.tokens -= float64(taken)
 	wait := math.Ceil((1 - bucket.tokens) / rate * float64(Second))
--- a/core/tokenkeeper.go
+++ b/core/tokenkeeper.go
@@ -21,6 +21,9 @@
 	// CoordinatorShare returns the part of the limit of each upstream in the zone, from 0 to 1, that
 	// this instance may grant as its coordinator.
 	CoordinatorShare(zone string) float64
+	// ColdShare returns the part of the tokens for each cold upstream in the zone, from 0 to 1, that
+	// this instance may grant. The parts of all instances together are at most 1/ColdPrimaryShare.
+	ColdShare(zone string) float64
 	// DelegateFailed records that a call to an instance failed.
 	DelegateFailed(address string, err error)
 }
@@ -35,6 +38,8 @@
 	Client   TokenClient
 	Counters *Counters
 	Log      logr.Logger
+	// ColdBound is the bound on requests to cold upstreams. It must also be set for the fleet.
+	ColdBound ColdBound
 }
 
 // TokenKeeper keeps the requests that all instances together send to an upstream within the limit
@@ -144,11 +149,17 @@
 	if coordinator.Address != k.Self {
 		return TokenReply{Redirect: coordinator.Address}
 	}
-	share := k.Peers.CoordinatorShare(request.Zone)
+	share, coldShare := k.Peers.CoordinatorShare(request.Zone), k.Peers.ColdShare(request.Zone)
 	var reply TokenReply
 	for _, want := range request.Wants {
-		perSecond := k.Fleet.RequestLimit(want.Upstream).Or(want.PerSecond)
-		count, wait := k.buckets.Take(want.Upstream, share*perSecond, want.Count)
+		perSecond, cold := k.Fleet.tokenLimit(want)
+		count, wait := 0, Millis(0)
+		if coldPerSecond, ok := cold.Get(); ok {
+			rate, size := k.ColdBound.bucket(coldPerSecond, perSecond, coldShare)
+			count, wait = k.buckets.take(want.Upstream, rate, size, want.Count)
+		} else {
+			count, wait = k.buckets.Take(want.Upstream, share*perSecond, want.Count)
+		}
 		reply.Grants = append(reply.Grants, TokenGrant{Upstream: want.Upstream, Count: count, Wait: wait})
 	}
 	return reply
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -33,6 +33,24 @@
 		So(err, ShouldBeNil)
 		So(settings.MemoryBytes, ShouldEqual, 184<<20)
 	})
+	Convey("The bound for cold upstreams is in force only if both of its numbers are set", t, func() {
+		decode := func(fields string) (Settings, error) {
+			routes := `"interface": "routes", "readyAddress": "127.0.0.1:6", "repeats": {"ratio": 0.2, "slack": 5, "windowMillis": 9}, ` + fields + ` "peers"`
+			return DecodeSettings("s.json", []byte(strings.Replace(settingsText, `"peers"`, routes, 1)))
+		}
+		for fields, want := range map[string]core.Option[core.ColdBound]{
+			"":                                    core.None[core.ColdBound](),
+			`"coldOverage": 1.5,`:                 core.None[core.ColdBound](),
+			`"coldSlack": 5,`:                     core.None[core.ColdBound](),
+			`"coldOverage": 1.5, "coldSlack": 5,`: core.Some(core.ColdBound{Overage: 1.5, Slack: 5}),
+		} {
+			settings, err := decode(fields)
+			So(err, ShouldBeNil)
+			So(settings.ColdBound, ShouldResemble, want)
+		}
+		_, err := decode(`"coldOverage": -1, "coldSlack": 5,`)
+		So(errors.Is(err, ErrInvalidSettings), ShouldBeTrue)
+	})
 	cases := []struct{ name, old, new, want string }{
 		{"an unknown field", `"zone"`, `"sone"`, "s.json:2: sone"},
 		{"a host name", `127.0.0.1:4`, `platform:4`, "platformAddress: value \"platform:4\": must be an IP number"},
--- a/io/operator/settings.go
+++ b/io/operator/settings.go
@@ -77,8 +77,11 @@
 	Capacity int
 	// MemoryBytes is how much memory the instance may use, or 0 if the settings set no limit.
 	MemoryBytes int64
-	LogLevel    string
-	Policy      core.Policy
+	// ColdBound is the bound on the requests to cold upstreams, for InterfaceRoutes, if one is in
+	// force.
+	ColdBound core.Option[core.ColdBound]
+	LogLevel  string
+	Policy    core.Policy
 }
 
 // DecodeSettings decodes the contents of a settings file. Its errors contain the file name.
@@ -120,6 +123,7 @@
 		settings.FirstStart = root.Field("firstStart").BoolOr(false)
 		settings.GatherInZones = root.Field("gatherInZones").BoolOr(false)
 		settings.Capacity = readCapacity(root.Field("processor"))
+		settings.ColdBound = readColdBound(root.Field("coldOverage"), root.Field("coldSlack"))
 	}
 	settings.MemoryBytes = root.Field("memoryMegabytes").IntOr(minMemoryMegabytes, maxMemoryMegabytes, 0) << 20
 	if level := root.Field("logLevel"); level.Present() {
@@ -169,6 +173,18 @@
 	return limit
 }
 
+// maxColdBound is the largest value of the two numbers of a cold bound.
+const maxColdBound = 1_000_000
+
+// readColdBound returns the bound on the requests to cold upstreams, or nothing unless both of its
+// numbers are set.
+func readColdBound(overage, slack *jsondoc.Node) core.Option[core.ColdBound] {
+	if !overage.Present() || !slack.Present() {
+		return core.None[core.ColdBound]()
+	}
+	return core.Some(core.ColdBound{Overage: overage.Float(0, maxColdBound), Slack: slack.Float(0, maxColdBound)})
+}
+
 func readPolicy(node *jsondoc.Node) core.Policy {
 	policy := core.Policy{
 		NoHedge:       node.Field("noHedge").BoolOr(false),
--- a/io/operator/state.go
+++ b/io/operator/state.go
@@ -111,8 +111,12 @@
 	ReportedLoad     float64             `json:"reportedLoad"`
 	// RequestLimit is the limit that the upstream names for all instances, in requests a second,
 	// or null. Tokens is how many requests this instance may send now.
-	RequestLimit     *float64 `json:"requestLimitPerSecond"`
-	Tokens           int      `json:"tokens"`
+	RequestLimit *float64 `json:"requestLimitPerSecond"`
+	Tokens       int      `json:"tokens"`
+	// ColdLimit is the limit while the upstream is cold, or null if it is not. ColdForMillis is the
+	// time until that ends, or 0 if the end is not known.
+	ColdLimit        *float64 `json:"coldLimitPerSecond"`
+	ColdForMillis    int64    `json:"coldForMillis"`
 	HeardAgoMillis   int64    `json:"heardAgoMillis"`
 	EjectedForMillis int64    `json:"ejectedForMillis"`
 }
@@ -223,11 +227,15 @@
 	}
 }
 
-func toUpstreamBody(upstream core.ReplicaState, now core.Millis) UpstreamBody {
-	var requestLimit *float64
-	if limit, limited := upstream.RequestLimit.Get(); limited {
-		requestLimit = &limit
+// toNullable returns a pointer to the value, or nil if there is none.
+func toNullable(value core.Option[float64]) *float64 {
+	if number, ok := value.Get(); ok {
+		return &number
 	}
+	return nil
+}
+
+func toUpstreamBody(upstream core.ReplicaState, now core.Millis) UpstreamBody {
 	return UpstreamBody{
 		Name:             upstream.Name,
 		Service:          upstream.Service,
@@ -242,8 +250,10 @@
 		ConnectionShare:  upstream.ConnectionShare,
 		LatencyMillis:    upstream.LatencyMillis,
 		ReportedLoad:     upstream.ReportedLoad,
-		RequestLimit:     requestLimit,
+		RequestLimit:     toNullable(upstream.RequestLimit),
 		Tokens:           upstream.Tokens,
+		ColdLimit:        toNullable(upstream.ColdLimit),
+		ColdForMillis:    int64(upstream.ColdRemaining),
 		HeardAgoMillis:   int64(now - upstream.HeardAt),
 		EjectedForMillis: int64(max(0, upstream.EjectedUntil-now)),
 	}
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 
 	"acaciavane/core"
 	"acaciavane/io/peer/peerpb"
@@ -93,8 +94,10 @@
 	}
 }
 
+// toFact returns the message for a fact. That of a FactUpstreamCold has the remaining time in
+// milliseconds in the field for crashes, which such a fact does not use.
 func toFact(fact core.Fact) *peerpb.Fact {
-	return &peerpb.Fact{
+	wire := &peerpb.Fact{
 		Kind:      string(fact.Kind),
 		Subject:   fact.Subject,
 		Stamp:     fact.Stamp,
@@ -107,10 +110,14 @@
 		Limited:        fact.Limited,
 		LimitPerSecond: fact.LimitPerSecond,
 	}
+	if fact.Kind == core.FactUpstreamCold {
+		wire.Crashes = uint32(min(max(0, fact.ColdRemaining), math.MaxUint32))
+	}
+	return wire
 }
 
 func fromFact(wire *peerpb.Fact) core.Fact {
-	return core.Fact{
+	fact := core.Fact{
 		Kind:    core.FactKind(wire.GetKind()),
 		Subject: wire.GetSubject(),
 		Stamp:   wire.GetStamp(),
@@ -123,6 +130,10 @@
 		Limited:        wire.GetLimited(),
 		LimitPerSecond: wire.GetLimitPerSecond(),
 	}
+	if fact.Kind == core.FactUpstreamCold {
+		fact.ColdRemaining, fact.Crashes = core.Millis(fact.Crashes), 0
+	}
+	return fact
 }
 
 func toHome(home core.Home) *peerpb.Home {
--- a/io/peer/peer_test.go
+++ b/io/peer/peer_test.go
@@ -117,7 +117,8 @@
 		From: info, ConfigurationVersion: 4, ConfigurationDigest: "d", Configuration: []byte("c"),
 		ListRevision: 5, InstanceList: []byte("l"), PlatformAge: 6, Sequence: 7, SeenIncarnation: 8, SeenSequence: 9, Wants: true, Joining: true,
 		Facts: []core.Fact{{Kind: core.FactVerdict, Subject: "f", Stamp: 2, Verdict: core.VerdictSuspect, Crashes: 1, Address: "a", Age: 3},
-			{Kind: core.FactUpstreamLimit, Subject: "u", Stamp: 2, Incarnation: 4, Limited: true, LimitPerSecond: 2.5}},
+			{Kind: core.FactUpstreamLimit, Subject: "u", Stamp: 2, Incarnation: 4, Limited: true, LimitPerSecond: 2.5},
+			{Kind: core.FactUpstreamCold, Subject: "u", Stamp: 3, Incarnation: 4, ColdRemaining: 2500, Age: 3}},
 	}
 	ticket := core.Ticket{Home: core.Home{Instance: "n", Incarnation: 3}, Address: "127.0.0.1:1", Expires: 4, Nonce: [16]byte{5}, Proof: [32]byte{6}}
 	Convey("Given two instances", t, func() {
