--- a/core/counters.go
+++ b/core/counters.go
@@ -83,6 +83,10 @@
 	CountLimited
 	// CountEvacuationChanges counts the zones whose evacuation began or ended.
 	CountEvacuationChanges
+	// CountColdPeriods counts upstreams that this instance began to treat as cold.
+	CountColdPeriods
+	// CountInvalidSignals counts statements of upstreams about themselves that can't be read.
+	CountInvalidSignals
 	counterCount
 )
 
@@ -131,6 +135,8 @@
 	CountTokenFailures:           "tokenFailures",
 	CountLimited:                 "refusedByRequestLimit",
 	CountEvacuationChanges:       "evacuationChanges",
+	CountColdPeriods:             "coldPeriods",
+	CountInvalidSignals:          "invalidSignals",
 }
 
 // String returns the name of the counter in metrics and state dumps, in camel case.
