Pass over an unconfirmed delegate without sending its request to another one

A delegate that does not confirm a request within 110 ms is now marked as failed, so that other requests pass it over until it is heard from, and is checked at once; the request itself stays with it. TestUnconfirmedDelegation shows both.

--- a/core/constants.go
+++ b/core/constants.go
@@ -352,10 +352,12 @@
 	// DelegateHopMillis is the time reserved for sending a delegated request and its answer
 	// between two instances, one of which has little processor time.
 	DelegateHopMillis = 5 * Millis(1)
-	// DelegateConfirmMillis is how long a delegate has to confirm that it received a request
-	// before an idempotent one is sent to the next delegate. A busy delegate confirms within
-	// 30 ms, the time for which one scattered request can keep its core.
-	DelegateConfirmMillis = 50 * Millis(1)
+	// DelegateConfirmMillis is how long a delegate has to confirm that it received a request. It
+	// covers a tenth of a second in which an instance may get no processor time.
+	DelegateConfirmMillis = 100 * Millis(1)
+	// DelegateConfirmGraceMillis is the additional time in which an instance that was stalled
+	// itself reads a confirmation that has arrived.
+	DelegateConfirmGraceMillis = 10 * Millis(1)
 	// DelegateCheckDelayMillis is how long after the objective of a delegated request its
 	// delegate is checked, unless it was heard from since the request was sent.
 	DelegateCheckDelayMillis = 100 * Millis(1)
--- a/core/counters.go
+++ b/core/counters.go
@@ -26,8 +26,7 @@
 	// received from other instances.
 	CountDelegated
 	CountDelegatedHere
-	// CountUnconfirmedDelegations counts requests that were sent to the next delegate because
-	// one did not confirm them.
+	// CountUnconfirmedDelegations counts requests that a delegate did not confirm in time.
 	CountUnconfirmedDelegations
 	// CountGroups counts groups of shards that other instances were asked to gather, and
 	// CountGroupsHere those gathered for other instances.
--- a/core/request.go
+++ b/core/request.go
@@ -85,10 +85,8 @@
 	ReasonTicketReused       Reason = "ticketReused"
 	ReasonHomeLost           Reason = "ticketHomeLost"
 	ReasonUpstreamRefused    Reason = "upstreamRefused"
-	// ReasonUnconfirmed means that an instance did not confirm in time that it received the request.
-	ReasonUnconfirmed    Reason = "unconfirmed"
-	ReasonConnectionLost Reason = "connectionLost"
-	ReasonTimeout        Reason = "timeout"
+	ReasonConnectionLost     Reason = "connectionLost"
+	ReasonTimeout            Reason = "timeout"
 	// ReasonCallerLeft is the reason of an unknown outcome whose caller has disconnected.
 	ReasonCallerLeft Reason = "callerLeft"
 )
