--- a/cli/check.go
+++ b/cli/check.go
@@ -13,20 +13,35 @@
 )
 
 func newCheckCommand(stdout io.Writer) *cobra.Command {
-	return &cobra.Command{
-		Use:   "check FILE...",
+	var options checkOptions
+	command := &cobra.Command{
+		Use:   "check FILE... | check --configuration NEW [--against CURRENT] [--json]",
 		Short: "Validate settings and published configurations",
 		Long: `check validates files without a running instance. A file with the field
 instance is read as settings, any other as a published configuration. Each error
 is printed with its file, line, field and value, and with what is allowed.
 
-` + exitCodesHelp,
-		Example: "  acaciavane check examples/huron-bay/configuration.json",
-		Args:    cobra.MinimumNArgs(1),
+With --configuration, check looks for errors, for entries that can never match
+and for limits that contradict each other, in a configuration in the platform's
+format or in the project's own. With --against it also prints what differs from
+the configuration in force.
+
+` + exitCodesHelp + `
+With --configuration: 0 no findings, 1 only warnings, 2 errors, 3 a file can't be read.`,
+		Example: `  acaciavane check examples/huron-bay/configuration.json
+  acaciavane check --configuration examples/check/platform/next.json --against examples/check/platform/current.json`,
 		RunE: func(_ *cobra.Command, files []string) error {
+			if err := options.validate(files); err != nil {
+				return err
+			}
+			if options.configuration != "" {
+				return checkConfiguration(stdout, options)
+			}
 			return checkFiles(stdout, files)
 		},
 	}
+	options.bind(command)
+	return command
 }
 
 func checkFiles(stdout io.Writer, files []string) error {
--- a/cli/options.go
+++ b/cli/options.go
@@ -36,6 +36,34 @@
 	return nil
 }
 
+// checkOptions are the options of the check command.
+type checkOptions struct {
+	configuration string
+	against       string
+	json          bool
+}
+
+func (o *checkOptions) bind(command *cobra.Command) {
+	flags := command.Flags()
+	flags.StringVar(&o.configuration, "configuration", "", "configuration to check before it is published")
+	flags.StringVar(&o.against, "against", "", "configuration in force, to compare with")
+	flags.BoolVar(&o.json, "json", false, "print the result as JSON")
+}
+
+func (o *checkOptions) validate(files []string) error {
+	switch {
+	case o.configuration != "" && len(files) > 0:
+		return usageError("--configuration: takes the place of FILE")
+	case o.configuration != "":
+		return nil
+	case o.against != "" || o.json:
+		return usageError("--configuration: required with --against and --json")
+	case len(files) == 0:
+		return usageError("FILE or --configuration: a file to check is required")
+	}
+	return nil
+}
+
 // dumpOptions are the options of the dump command.
 type dumpOptions struct {
 	address string
--- a/io/jsondoc/jsondoc.go
+++ b/io/jsondoc/jsondoc.go
@@ -20,6 +20,9 @@
 // grows with the square of the depth.
 const maxDepth = 32
 
+// PathDocument is the path of an error in the syntax of a document.
+const PathDocument = "document"
+
 // Error is a single error in a document.
 type Error struct {
 	File string
@@ -96,7 +99,7 @@
 }
 
 func (d *Document) syntaxError(decoder *json.Decoder, err error) error {
-	return &Error{File: d.file, Line: d.lineAt(decoder.InputOffset()), Path: "document", Message: err.Error()}
+	return &Error{File: d.file, Line: d.lineAt(decoder.InputOffset()), Path: PathDocument, Message: err.Error()}
 }
 
 // lineAt returns the line number at an offset in the document.
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -19,9 +19,9 @@
 	"acaciavane/io/peer/peerpb"
 )
 
-// maxMessageBytes bounds a message. It leaves room for two published values and the facts of
+// MaxMessageBytes bounds a message. It leaves room for two published values and the facts of
 // one exchange.
-const maxMessageBytes = 4 * core.MaxPublishedBytes
+const MaxMessageBytes = 4 * core.MaxPublishedBytes
 
 const (
 	// windowBytes is the HTTP/2 flow control window of a stream and of a connection. With a
@@ -79,7 +79,7 @@
 			},
 			MinConnectTimeout: core.ExchangeTimeoutMillis.Duration(),
 		}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
 	)
 	if err != nil {
 		return nil, fmt.Errorf("connect to peer %s: %w", address, err)
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -51,7 +51,7 @@
 func NewServer(clock core.Clock, handler Handler, counters *core.Counters, log logr.Logger) *Server {
 	s := &Server{clock: clock, handler: handler, counters: counters, log: log}
 	s.grpc = grpc.NewServer(
-		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.MaxRecvMsgSize(MaxMessageBytes),
 		grpc.MaxHeaderListSize(core.MaxReplyHeadBytes),
 		grpc.InitialWindowSize(windowBytes),
 		grpc.InitialConnWindowSize(windowBytes),
