Select upstreams by an estimate of their capacity, if the settings enable it

Cause: selection uses a moving average of latency. On the routes interface it never decays, so that an upstream that was slow once, for 600 ms or until it recovered, stays out of use; a change of the mix of requests counts as a change of speed; the reported load isn't used.

Outdated estimates are measured again by extra attempts after the reply to the caller. State dump, log lines, counters, settings.

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -81,6 +81,7 @@
 	i.fleet = core.NewFleet(clock, settings.Zone, settings.Policy, i.recordFact)
 	i.fleet.OnChange(i.logUpstream)
 	i.fleet.OnLimitChange(i.logLimit)
+	i.fleet.OnEstimateChange(i.logEstimate)
 	i.quarantine = core.NewQuarantine(clock, i.recordFact)
 	i.budget = core.NewTokenBudget(core.ExtraLoadShare, core.ExtraLoadBurst)
 	i.pause = core.NewPauseGuard(clock, i.counters, i.refreshView)
@@ -258,6 +259,13 @@
 	i.log.Info("upstream no longer limited", fields...)
 }
 
+// logEstimate logs and counts a change of the capacity estimate of an upstream.
+func (i *instance) logEstimate(change core.EstimateChange) {
+	i.counters.Add(core.CountEstimateChanges, 1)
+	i.log.Info("upstream capacity estimate changed", "upstream", change.Name, "service", change.Service,
+		"latencyFactor", change.Speed, "risesAtShareOfSlots", change.Knee, "expectedLatencyMillis", change.LatencyMillis)
+}
+
 // recordFact records a fact that this instance has seen. Exchanges pass it on to the peers.
 func (i *instance) recordFact(fact core.Fact) {
 	if i.facts.Merge(fact) {
--- a/core/constants.go
+++ b/core/constants.go
@@ -192,6 +192,47 @@
 	// MaxAttemptsPerShard is the largest number of attempts in a row for one shard of a
 	// query, and for one order.
 	MaxAttemptsPerShard = 4
+	// EpisodeMillis is the length of the episodes whose mean latencies a speed estimate is the
+	// median of. A step fills three of five within 1.2 s; a disturbance of 600 ms does not.
+	EpisodeMillis = 400 * Millis(1)
+	// EstimateHalfLifeMillis is the half-life of the excess of an upstream's estimated speed over
+	// the median of its service while it is not used. It is longer than LatencyHalfLifeMillis,
+	// because exploration measures the upstream again before.
+	EstimateHalfLifeMillis = 2 * Second
+	// LoadHalfLifeMillis is the half-life of the difference between a reported load and the
+	// upstream's mean. With 100 ms, instances followed the same old reports and overfilled one
+	// upstream after the other (TestCapacityLoads, three speeds).
+	LoadHalfLifeMillis = 30 * Millis(1)
+	// SlowdownHalfLifeMillis is the half-life of the difference between the reported slowdown of
+	// a machine and its mean. Neighbours of an upstream keep its machine busy for some 500 ms.
+	SlowdownHalfLifeMillis = 200 * Millis(1)
+	// ReportMeanHalfLifeMillis is the half-life of the difference between the mean reported
+	// load of an upstream and that of its service, while it reports nothing.
+	ReportMeanHalfLifeMillis = 2 * Second
+	// ReportWeight is the weight of one report in the mean of an upstream, and
+	// ServiceLoadWeight that in the mean of its service.
+	ReportWeight      = 0.1
+	ServiceLoadWeight = 0.05
+	// DisturbanceHalfLifeMillis is the half-life of a short excess of latency, and
+	// DisturbanceWeight the weight of one reply in it.
+	DisturbanceHalfLifeMillis = 150 * Millis(1)
+	DisturbanceWeight         = 0.1
+	// ExploreEstimateMillis is the age from which the estimate of an upstream that it keeps
+	// from being selected is measured again.
+	ExploreEstimateMillis = 1 * Second
+	// ExploreBudgetFraction is the fraction of the retry budget that measurements of upstreams
+	// may use. The rest is reserved for hedges and retries.
+	ExploreBudgetFraction = 0.4
+	// ExploreMaxLoad is the mean load of a service, as a fraction of the slots, above which no
+	// attempts are sent only to measure an upstream. Its upstreams are then all selected now and
+	// then, as the others are loaded.
+	ExploreMaxLoad = 0.8
+	// SelectionSpread is the largest random excess of a score by a capacity estimate.
+	SelectionSpread = 0.1
+	// OwnRequestWeight is how much each request that this instance has in flight at an upstream
+	// adds to its expected latency, as a fraction. Own requests are known without delay, unlike
+	// the load; without the weight, instances with the same reports choose the same upstream.
+	OwnRequestWeight = 0.5
 	// LimitIncrease is how much a success adds to the concurrency limit of a replica.
 	LimitIncrease = 0.05
 	// LimitDecrease is the factor by which a shed request lowers the concurrency limit of a
--- a/core/counters.go
+++ b/core/counters.go
@@ -78,6 +78,12 @@
 	CountTokenFailures
 	// CountLimited counts requests refused because of request limits.
 	CountLimited
+	// CountExplorations counts attempts that only measure an upstream again, and
+	// CountEstimateChanges announced changes of capacity estimates.
+	CountExplorations
+	CountEstimateChanges
+	// CountInvalidLoads counts replies with an invalid load.
+	CountInvalidLoads
 	counterCount
 )
 
@@ -124,6 +130,9 @@
 	CountTokenRequests:           "tokenRequests",
 	CountTokenFailures:           "tokenFailures",
 	CountLimited:                 "refusedByRequestLimit",
+	CountExplorations:            "explorations",
+	CountEstimateChanges:         "capacityEstimateChanges",
+	CountInvalidLoads:            "invalidLoadReports",
 }
 
 // String returns the name of the counter in metrics and state dumps, in camel case.
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -75,6 +75,7 @@
 		case result := <-d.results:
 			delete(d.running, result.permit)
 			if result.failure == nil {
+				d.explore()
 				return result.reply, nil
 			}
 			d.recordFailure(result)
@@ -106,6 +107,7 @@
 // start acquires a permit and sends an attempt in the background.
 func (d *dispatch) start(ctx context.Context, want Want) *AttemptError {
 	want.Service = d.service
+	want.Kind = d.route.Name
 	want.Priority = d.route.Priority
 	want.KeepOnConnectionLoss = true
 	want.WaitUntil = d.queueDeadline
@@ -116,13 +118,37 @@
 	if err != nil {
 		return &AttemptError{Kind: FailureNotSent, Detail: "no room at " + d.service, Cause: err}
 	}
+	d.launch(permit)
+	return nil
+}
+
+// launch sends an attempt in the background.
+func (d *dispatch) launch(permit *Permit) {
 	d.arrivals++
 	d.possibleRuns++
 	d.running[permit] = struct{}{}
 	d.sent.Store(true)
 	d.router.Counters.Add(CountAttempts, 1)
 	go func() { d.results <- d.send(permit) }()
-	return nil
+}
+
+// explore sends the request once more, to an upstream whose estimate is outdated, if a repeat is
+// allowed. It is called once the reply is known, so that it delays no caller and takes no attempt
+// from a retry. The result is not used.
+func (d *dispatch) explore() {
+	if !d.router.Fleet.EstimatesCapacity() || !d.route.Idempotent || !d.mayRepeat() || len(d.running) > 0 {
+		return
+	}
+	permit := d.router.Fleet.Explore(Want{Service: d.service, Kind: d.route.Name, Exclude: d.exclude, KeepOnConnectionLoss: true})
+	if permit == nil {
+		return
+	}
+	if !permit.Sendable() || !d.router.RetryBudget.Spend(d.service, ExploreBudgetFraction) {
+		permit.Release()
+		return
+	}
+	d.router.Counters.Add(CountExplorations, 1)
+	d.launch(permit)
 }
 
 // acquire returns a permit. If none is free, it waits for one until d.queueDeadline,
@@ -153,6 +179,7 @@
 	}
 	result := routedResult{permit: permit, reply: reply}
 	permit.RecordLimit(reply.Limit)
+	d.recordLoad(permit, reply)
 	if err != nil {
 		result.failure = attemptFailure(err)
 		if reply.Status != 0 {
@@ -168,6 +195,18 @@
 	return result
 }
 
+// recordLoad passes the reported load to the permit. Invalid parts of it are counted and logged.
+func (d *dispatch) recordLoad(permit *Permit, reply RoutedReply) {
+	if !d.router.Fleet.EstimatesCapacity() {
+		return
+	}
+	permit.RecordLoad(reply.Load)
+	if reply.LoadInvalid {
+		d.router.Counters.Add(CountInvalidLoads, 1)
+		d.router.Log.Info("invalid load report", "service", d.service, "upstream", permit.Target().Name)
+	}
+}
+
 // checkReply returns an error if a complete reply does not answer the request. The reply of a
 // shard does so only if its status is 2xx, because other replies can't be merged. The reply to a
 // request with one destination is returned to the caller with any status.
--- a/core/engine.go
+++ b/core/engine.go
@@ -9,7 +9,7 @@
 )
 
 // Policy disables single parts of the request policy, so that the effect of each can
-// be measured.
+// be measured, or enables optional ones.
 type Policy struct {
 	// NoHedge disables the second attempt at a slow shard.
 	NoHedge bool
@@ -19,6 +19,8 @@
 	RandomReplica bool
 	// NoGate disables admission control: every request is admitted.
 	NoGate bool
+	// EstimateCapacity selects replicas by an estimate of how much each upstream takes well.
+	EstimateCapacity bool
 }
 
 // EngineConfig holds the dependencies and the policy of an Engine.
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"sync"
 )
@@ -25,6 +26,11 @@
 	onChange func(UpstreamChange)
 	// onLimitChange, if set, is called when the request limit of an upstream changes.
 	onLimitChange func(LimitChange)
+	// onEstimateChange, if set, is called when the capacity estimate of an upstream changes
+	// much.
+	onEstimateChange func(EstimateChange)
+	// random returns a number from 0 to 1.
+	random func() float64
 
 	// alerts signals that an upstream may have become unreachable.
 	alerts chan struct{}
@@ -47,12 +53,19 @@
 	replicas []*replica
 	waiters  []*waiter
 	window   latencyWindow
+	// usual is what the capacity estimates of the replicas have in common, and speeds a buffer
+	// for computing it.
+	usual  serviceUsual
+	speeds []float64
 }
 
 // Want describes the replica that an attempt needs.
 type Want struct {
 	Service    string
 	Collection string
+	// Kind is the route or the kind of the request. Latencies of one kind are compared with
+	// each other.
+	Kind string
 	// Snapshot, if not zero, restricts the selection to replicas that serve it.
 	Snapshot uint64
 	// Exclude names replicas that were already tried.
@@ -80,6 +93,7 @@
 		clock:    clock,
 		zone:     zone,
 		policy:   policy,
+		random:   rand.Float64,
 		notify:   notify,
 		services: map[string]*service{},
 		replicas: map[string]*replica{},
@@ -131,7 +145,9 @@
 func (f *Fleet) reuseReplica(spec Service, upstream Upstream, share int) *replica {
 	r, ok := f.replicas[upstream.Name]
 	if !ok || r.upstream.Address != upstream.Address || r.upstream.Zone != upstream.Zone || r.service != spec.Name {
-		return newReplica(spec, upstream, share, f.limitOf(upstream.Name))
+		r = newReplica(spec, upstream, share, f.limitOf(upstream.Name))
+		r.estimate = f.newEstimate()
+		return r
 	}
 	r.upstream.Unlisted = upstream.Unlisted
 	if r.slots != spec.Slots || r.share != share {
--- a/core/message.go
+++ b/core/message.go
@@ -79,6 +79,8 @@
 	Signature string
 	// Load is the load that the upstream reported, if any.
 	Load Option[UpstreamLoad]
+	// LoadInvalid is whether a part of the reported load was invalid and left out.
+	LoadInvalid bool
 	// Limit is what the upstream said about its request limit.
 	Limit LimitStatement
 }
@@ -94,6 +96,9 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Slowdown is by what factor work on the upstream's machine takes longer than usual at the
+	// moment. Most upstreams don't report it.
+	Slowdown Option[float64]
 }
 
 // Part is the reply of one shard, which is merged with those of the others.
--- a/core/permit.go
+++ b/core/permit.go
@@ -12,6 +12,8 @@
 	since    Millis
 	want     Want
 	released bool
+	// load is the load that the reply reported.
+	load Option[UpstreamLoad]
 }
 
 // Target returns the upstream to which the request may be sent.
@@ -51,6 +53,7 @@
 	f.mu.Lock()
 	latency := now - p.since
 	p.replica.recordSuccess(latency, now)
+	f.estimateLatency(p, latency, now)
 	if s, ok := f.services[p.want.Service]; ok {
 		s.window.add(latency)
 	}
@@ -67,6 +70,7 @@
 	latency := now - p.since
 	f.mu.Lock()
 	p.replica.recordSuccess(latency, now)
+	f.estimateLatency(p, latency, now)
 	f.recordReply(p.replica, now)
 	f.mu.Unlock()
 	p.Release()
@@ -81,6 +85,11 @@
 	f.recordReply(p.replica, f.clock.Now())
 }
 
+// RecordLoad keeps the load that the reply reports for Complete.
+func (p *Permit) RecordLoad(load Option[UpstreamLoad]) {
+	p.load = load
+}
+
 // RecordLimit records what the reply states about the request limit of the upstream.
 func (p *Permit) RecordLimit(statement LimitStatement) {
 	p.fleet.recordLimit(p.replica, statement, p.since)
@@ -108,6 +117,7 @@
 		p.replica.raiseErrorRate()
 	case FailureTimeout:
 		p.replica.recordSlow(now-p.since, now)
+		f.estimateWait(p, true, now)
 	case FailureNoSnapshot:
 	case FailureMisdirected:
 		p.replica.markLeaving("another upstream has its address", now)
@@ -144,6 +154,7 @@
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	p.replica.recordSlow(now-p.since, now)
+	f.estimateWait(p, false, now)
 	f.recordLate(p.replica, p.since)
 }
 
--- a/core/replica.go
+++ b/core/replica.go
@@ -57,6 +57,9 @@
 	ejections    int
 	ejectedUntil Millis
 
+	// estimate is the capacity estimate, or nil if Policy.EstimateCapacity is not set.
+	estimate *capacityEstimate
+
 	// reportedInUse is whether the upstream was in use at the last call of Fleet.onChange.
 	reportedInUse bool
 }
@@ -128,6 +131,9 @@
 	r.ejectedUntil = 0
 	r.requestLimit.resetFor(incarnation)
 	r.restartedAt = now
+	if r.estimate != nil {
+		r.estimate = newCapacityEstimate()
+	}
 }
 
 // markLeaving sets the leaving phase, which lasts until the next incarnation.
@@ -197,7 +203,13 @@
 
 // score estimates the time that a request to the replica would take. Lower is better.
 func (r *replica) score(zone string, median float64, now Millis) float64 {
-	score := max(r.expectedLatency(median, now), 1) * float64(r.inFlight+1) * (1 + ErrorPenalty*r.errorRate)
+	return r.adjust(max(r.expectedLatency(median, now), 1)*float64(r.inFlight+1), zone, now)
+}
+
+// adjust applies the error rate, the preference for the instance's own zone and slow start to
+// an expected latency.
+func (r *replica) adjust(latency float64, zone string, now Millis) float64 {
+	score := latency * (1 + ErrorPenalty*r.errorRate)
 	if r.upstream.Zone == zone {
 		score *= LocalBias
 	}
--- a/core/replicastate.go
+++ b/core/replicastate.go
@@ -21,6 +21,8 @@
 	ConnectionShare int
 	LatencyMillis   float64
 	ReportedLoad    float64
+	// Estimate is the capacity estimate, if estimates are used.
+	Estimate Option[EstimateState]
 	// RequestLimit is the limit that the upstream names for all instances, in requests a second,
 	// and Tokens is how many requests this instance may send now.
 	RequestLimit Option[float64]
@@ -29,13 +31,35 @@
 	EjectedUntil Millis
 }
 
+// EstimateState is the capacity estimate of one upstream, for the state dump.
+type EstimateState struct {
+	// LatencyMillis is the latency to expect of one more request.
+	LatencyMillis float64
+	// RisesAt is the number of requests at which latency begins to rise, and Slope is how much
+	// each further request per slot adds to it, as a multiple of the latency below.
+	RisesAt float64
+	Slope   float64
+	// Speed is the latency without load as a multiple of what is usual at the service.
+	Speed float64
+	// Load is the number of requests, running and waiting, to expect now.
+	Load float64
+	// Slowdown is the expected slowdown of the machine, 1 if it is not reported.
+	Slowdown float64
+	// Replies is the number of replies that Speed is based on.
+	Replies int
+}
+
 // State returns the state of all upstreams, sorted by name.
 func (f *Fleet) State() []ReplicaState {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	states := make([]ReplicaState, 0, len(f.replicas))
 	for _, r := range f.replicas {
-		states = append(states, r.state())
+		state := r.state()
+		if s, ok := f.services[r.service]; ok && r.estimate != nil {
+			state.Estimate = Some(r.estimate.state(&s.usual, r.inFlight, f.clock.Now()))
+		}
+		states = append(states, state)
 	}
 	slices.SortFunc(states, func(a, b ReplicaState) int { return cmp.Compare(a.Name, b.Name) })
 	return states
--- a/core/selection.go
+++ b/core/selection.go
@@ -61,6 +61,9 @@
 
 // best returns the replica with the lowest score.
 func (f *Fleet) best(s *service, usable []*replica, want Want, now Millis) *replica {
+	if f.EstimatesCapacity() {
+		return f.bestEstimated(s, usable, want, now)
+	}
 	return slices.MinFunc(usable, func(a, b *replica) int {
 		return cmp.Compare(f.scoreOf(s, a, want, now), f.scoreOf(s, b, want, now))
 	})
@@ -154,7 +157,8 @@
 }
 
 // Explore returns a permit for a replica that was not used for ExploreIntervalMillis,
-// so that its outdated latency is measured again. It returns nil if there is none.
+// so that its outdated latency is measured again. With Policy.EstimateCapacity the replica is one
+// that only its old estimate may keep from being selected. It returns nil if there is none.
 func (f *Fleet) Explore(want Want) *Permit {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -164,9 +168,20 @@
 	}
 	now := f.clock.Now()
 	for _, r := range f.eligible(s, want) {
-		if now-r.usedAt > ExploreIntervalMillis && !r.down && !r.ejected(now) && r.hasCapacity(false) && r.requestLimit.admits(now) {
+		if f.exploreDue(s, r, now) && !r.down && !r.ejected(now) && r.hasCapacity(false) && r.requestLimit.admits(now) {
+			if r.estimate != nil {
+				r.estimate.exploredAt = now
+			}
 			return f.grantPermit(r, want, now)
 		}
 	}
 	return nil
 }
+
+// exploreDue reports whether the latency of a replica should be measured again.
+func (f *Fleet) exploreDue(s *service, r *replica, now Millis) bool {
+	if f.EstimatesCapacity() {
+		return f.exploreEstimate(s, r, now)
+	}
+	return now-r.usedAt > ExploreIntervalMillis
+}
--- a/core/shard.go
+++ b/core/shard.go
@@ -250,6 +250,7 @@
 // replicas of the shard.
 func (s *shard) want(want Want) Want {
 	want.Service = s.part.Service
+	want.Kind = s.query.admitted.kind.Name
 	want.Collection = s.query.admitted.collection.Name
 	want.Snapshot = s.plan.Snapshot.ID
 	want.Priority = s.query.admitted.kind.Priority
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -32,6 +32,10 @@
 		settings, err = DecodeSettings("s.json", []byte(strings.Replace(settingsText, `"peers"`, `"memoryMegabytes": 184, "peers"`, 1)))
 		So(err, ShouldBeNil)
 		So(settings.MemoryBytes, ShouldEqual, 184<<20)
+		So(settings.Policy.EstimateCapacity, ShouldBeFalse)
+		settings, err = DecodeSettings("s.json", []byte(strings.Replace(settingsText, `"peers"`, `"policy": {"estimateCapacity": true}, "peers"`, 1)))
+		So(err, ShouldBeNil)
+		So(settings.Policy, ShouldResemble, core.Policy{EstimateCapacity: true})
 	})
 	cases := []struct{ name, old, new, want string }{
 		{"an unknown field", `"zone"`, `"sone"`, "s.json:2: sone"},
@@ -74,7 +78,11 @@
 				InForce:          core.InForce{Configuration: core.Configuration{Version: 7, Digest: "d"}, Source: "peer j"},
 				HasConfiguration: true,
 				Refusals:         []core.Refusal{{Reason: "because", Version: 8}},
-				Counters:         counters,
+				Upstreams: []core.ReplicaState{
+					{Name: "u", Estimate: core.Some(core.EstimateState{LatencyMillis: 12, RisesAt: 4})},
+					{Name: "v"},
+				},
+				Counters: counters,
 			}
 		}
 		server := httptest.NewServer(New(state, func() bool { return ready }, metrics, level, log).Handler())
@@ -101,6 +109,9 @@
 			So(json.Unmarshal([]byte(raw), &body), ShouldBeNil)
 			So(body.Incarnation, ShouldEqual, 9)
 			So(body.Counters["hedges"], ShouldEqual, 3)
+			So(body.Upstreams[0].Estimate.ExpectedLatencyMillis, ShouldEqual, 12)
+			So(body.Upstreams[0].Estimate.RisesAtRequests, ShouldEqual, 4)
+			So(body.Upstreams[1].Estimate, ShouldBeNil)
 		})
 		Convey("the configuration is returned with its version, source and refusals", func() {
 			_, raw := get(PathConfiguration)
--- a/io/operator/settings.go
+++ b/io/operator/settings.go
@@ -175,6 +175,8 @@
 		NoEarlyClose:  node.Field("noEarlyClose").BoolOr(false),
 		RandomReplica: node.Field("randomReplica").BoolOr(false),
 		NoGate:        node.Field("noGate").BoolOr(false),
+
+		EstimateCapacity: node.Field("estimateCapacity").BoolOr(false),
 	}
 	node.RejectUnknownFields()
 	return policy
--- a/io/operator/state.go
+++ b/io/operator/state.go
@@ -109,6 +109,8 @@
 	ConnectionShare  int                 `json:"connectionShare"`
 	LatencyMillis    float64             `json:"latencyMillis"`
 	ReportedLoad     float64             `json:"reportedLoad"`
+	// Estimate is the capacity estimate, or null if there is none.
+	Estimate *EstimateBody `json:"estimate"`
 	// RequestLimit is the limit that the upstream names for all instances, in requests a second,
 	// or null. Tokens is how many requests this instance may send now.
 	RequestLimit     *float64 `json:"requestLimitPerSecond"`
@@ -117,6 +119,21 @@
 	EjectedForMillis int64    `json:"ejectedForMillis"`
 }
 
+// EstimateBody is the capacity estimate of an upstream.
+type EstimateBody struct {
+	ExpectedLatencyMillis float64 `json:"expectedLatencyMillis"`
+	// RisesAtRequests is the number of requests, running and waiting, at which latency begins to
+	// rise. RiseFactor is how much each further request per slot adds to it, as a multiple of the
+	// latency below.
+	RisesAtRequests float64 `json:"risesAtRequests"`
+	RiseFactor      float64 `json:"riseFactor"`
+	// Speed is the latency without load as a multiple of what is usual at the service.
+	Speed           float64 `json:"latencyFactor"`
+	ExpectedLoad    float64 `json:"expectedRequests"`
+	MachineSlowdown float64 `json:"machineSlowdown"`
+	Replies         int     `json:"replies"`
+}
+
 // GateBody is the state of the limit on the requests in flight of one collection.
 type GateBody struct {
 	Collection string  `json:"collection"`
@@ -242,9 +259,26 @@
 		ConnectionShare:  upstream.ConnectionShare,
 		LatencyMillis:    upstream.LatencyMillis,
 		ReportedLoad:     upstream.ReportedLoad,
+		Estimate:         toEstimateBody(upstream.Estimate),
 		RequestLimit:     requestLimit,
 		Tokens:           upstream.Tokens,
 		HeardAgoMillis:   int64(now - upstream.HeardAt),
 		EjectedForMillis: int64(max(0, upstream.EjectedUntil-now)),
 	}
 }
+
+func toEstimateBody(option core.Option[core.EstimateState]) *EstimateBody {
+	estimate, ok := option.Get()
+	if !ok {
+		return nil
+	}
+	return &EstimateBody{
+		ExpectedLatencyMillis: estimate.LatencyMillis,
+		RisesAtRequests:       estimate.RisesAt,
+		RiseFactor:            estimate.Slope,
+		Speed:                 estimate.Speed,
+		ExpectedLoad:          estimate.Load,
+		MachineSlowdown:       estimate.Slowdown,
+		Replies:               estimate.Replies,
+	}
+}
