--- a/cli/instance.go
+++ b/cli/instance.go
@@ -86,6 +86,7 @@
 	if bound, ok := settings.ColdBound.Get(); ok {
 		i.fleet.SetColdBound(bound)
 	}
+	i.fleet.OnEstimateChange(i.logEstimate)
 	i.quarantine = core.NewQuarantine(clock, i.recordFact)
 	i.budget = core.NewTokenBudget(core.ExtraLoadShare, core.ExtraLoadBurst)
 	i.pause = core.NewPauseGuard(clock, i.counters, i.refreshView)
@@ -294,6 +295,13 @@
 	i.log.Info("invalid signals of an upstream", "upstream", name, "fields", fields)
 }
 
+// logEstimate logs and counts a change of the capacity estimate of an upstream.
+func (i *instance) logEstimate(change core.EstimateChange) {
+	i.counters.Add(core.CountEstimateChanges, 1)
+	i.log.Info("upstream capacity estimate changed", "upstream", change.Name, "service", change.Service,
+		"latencyFactor", change.Speed, "risesAtShareOfSlots", change.Knee, "expectedLatencyMillis", change.LatencyMillis)
+}
+
 // recordFact records a fact that this instance has seen. Exchanges pass it on to the peers.
 func (i *instance) recordFact(fact core.Fact) {
 	if i.facts.Merge(fact) {
--- a/core/counters.go
+++ b/core/counters.go
@@ -86,6 +86,12 @@
 	CountColdPeriods
 	// CountInvalidSignals counts statements of upstreams about themselves that can't be read.
 	CountInvalidSignals
+	// CountExplorations counts attempts that only measure an upstream again, and
+	// CountEstimateChanges announced changes of capacity estimates.
+	CountExplorations
+	CountEstimateChanges
+	// CountInvalidLoads counts replies with an invalid load.
+	CountInvalidLoads
 	counterCount
 )
 
@@ -136,6 +142,9 @@
 	CountEvacuationChanges:       "evacuationChanges",
 	CountColdPeriods:             "coldPeriods",
 	CountInvalidSignals:          "invalidSignals",
+	CountExplorations:            "explorations",
+	CountEstimateChanges:         "capacityEstimateChanges",
+	CountInvalidLoads:            "invalidLoadReports",
 }
 
 // String returns the name of the counter in metrics and state dumps, in camel case.
