--- a/standin/lab/cluster.go
+++ b/standin/lab/cluster.go
@@ -40,6 +40,8 @@
 	// UpstreamArguments are additional command-line arguments of the upstream stand-ins.
 	UpstreamArguments []string
 	DrainMillis       int64
+	// MemoryMegabytes is the memory limit of each entry instance; 0 means none.
+	MemoryMegabytes int
 	// LogLevel is the log level of the entry instances; empty means info.
 	LogLevel string
 	Policy   *PolicySettings
@@ -193,6 +195,7 @@
 			OperatorAddress: entry.OperatorAddress,
 			PlatformAddress: c.address(platformPort),
 			DrainMillis:     c.options.DrainMillis,
+			MemoryMegabytes: c.options.MemoryMegabytes,
 			LogLevel:        c.options.LogLevel,
 			Policy:          c.options.Policy,
 			Peers:           []string{},
--- a/standin/lab/deployment.go
+++ b/standin/lab/deployment.go
@@ -233,6 +233,7 @@
 	SourceAddress     string          `json:"sourceAddress,omitempty"`
 	Peers             []string        `json:"peers"`
 	DrainMillis       int64           `json:"drainMillis"`
+	MemoryMegabytes   int             `json:"memoryMegabytes,omitempty"`
 	LogLevel          string          `json:"logLevel"`
 	Policy            *PolicySettings `json:"policy,omitempty"`
 }
--- a/standin/lab/process.go
+++ b/standin/lab/process.go
@@ -86,6 +86,9 @@
 	return p, nil
 }
 
+// ID returns the ID of the process.
+func (p *Process) ID() int { return p.command.Process.Pid }
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(signal syscall.Signal) {
 	_ = p.command.Process.Signal(signal)
