Tests: one in ten hostile callers sends its body to the end

A body that ends is also held while its request is executed.

Change: every tenth client of the crowds with bodies completes its body.

--- a/standin/hostile/clients.go
+++ b/standin/hostile/clients.go
@@ -35,8 +35,10 @@
 // Client is one client of a crowd.
 type Client struct {
 	Target
-	conn net.Conn
-	stop chan struct{}
+	// completes is set for the few clients that send their body to its end.
+	completes bool
+	conn      net.Conn
+	stop      chan struct{}
 }
 
 const (
@@ -55,6 +57,8 @@
 	pipelined = 300
 	// slowReadInterval is how long slow readers wait between two bytes.
 	slowReadInterval = 50 * time.Millisecond
+	// completeEvery is how many clients there are for each one that sends its body to its end.
+	completeEvery = 10
 	// slowReaderPause is long enough for an instance to read one large answer from its upstream.
 	// Instances limit the memory for answers that they read at the same time.
 	slowReaderPause = 20 * time.Millisecond
@@ -80,27 +84,29 @@
 	}
 }
 
-// Bodies returns the crowds that send bodies which stop one byte short.
+// Bodies returns the crowds that send bodies, most of which stop just short of their end.
 func Bodies(connections int) []Crowd {
 	return []Crowd{
 		{"whole bodies", connections, 0, func(c *Client) {
 			c.send([]byte(c.head(fmt.Sprintf("Content-Length: %d\r\n", c.BodyBytes))))
-			c.send(filler[:c.BodyBytes-1])
+			c.sendEnd(filler[:c.BodyBytes], "")
 		}},
 		{"bodies in pieces", connections, 0, func(c *Client) {
 			c.send([]byte(c.head(fmt.Sprintf("Content-Length: %d\r\n", c.BodyBytes))))
 			c.repeat(filler[:pieceBytes], c.BodyBytes-pieceBytes)
-			c.send(filler[:pieceBytes-1])
+			c.sendEnd(filler[:pieceBytes], "")
 		}},
 		{"large chunks", connections, 0, func(c *Client) {
 			c.send([]byte(c.chunkedHead()))
 			chunk := fmt.Appendf(nil, "%x\r\n%s\r\n", largeChunk, filler[:largeChunk])
 			c.repeat(chunk, (c.BodyBytes/largeChunk)*len(chunk))
+			c.sendEnd(nil, "0\r\n\r\n")
 		}},
 		{"chunks of one byte", connections / 2, 0, func(c *Client) {
 			c.send([]byte(c.chunkedHead()))
 			chunk := []byte("1\r\nx\r\n")
 			c.repeat(bytes.Repeat(chunk, pieceBytes), c.BodyBytes*len(chunk))
+			c.sendEnd(nil, "0\r\n\r\n")
 		}},
 	}
 }
@@ -166,6 +172,16 @@
 	return err == nil
 }
 
+// sendEnd sends the last piece of a body and its end. Most clients stop one byte short of the
+// piece, or before the end.
+func (c *Client) sendEnd(piece []byte, end string) {
+	if c.completes {
+		c.send(append(bytes.Clone(piece), end...))
+		return
+	}
+	c.send(piece[:max(0, len(piece)-1)])
+}
+
 // repeat sends the data again and again, total bytes at most.
 func (c *Client) repeat(data []byte, total int) {
 	for sent := 0; sent+len(data) <= total; sent += len(data) {
@@ -223,7 +239,7 @@
 func (c Crowd) Run(target Target) *Connections {
 	open := &Connections{stop: make(chan struct{})}
 	var group sync.WaitGroup
-	for range c.Connections {
+	for n := range c.Connections {
 		time.Sleep(c.Pause)
 		group.Go(func() {
 			conn, err := net.DialTimeout("tcp", target.Address, writeTimeout)
@@ -233,7 +249,7 @@
 			open.mu.Lock()
 			open.conns = append(open.conns, conn)
 			open.mu.Unlock()
-			c.Behave(&Client{Target: target, conn: conn, stop: open.stop})
+			c.Behave(&Client{Target: target, completes: n%completeEvery == 0, conn: conn, stop: open.stop})
 		})
 	}
 	group.Wait()
