Callers: one budget for memory and connections, stalled ones closed first

Cause: bodies, heads and answers were held without a common bound, and connections were accepted until no descriptor was left.

Change: core.ConnectionBudget keeps an account for each connection and decides what is admitted and which connections are closed; io/caller has the listener, the connection for net/http and the reader of bodies. Callers have a quarter of memoryMegabytes and half of the new setting fileDescriptors (limits.file-descriptors); the readiness port and the operator's port have budgets of their own. Of the budget, a quarter is reserved for small requests. Under pressure the connection with the largest product of bytes held and time without progress is closed; a charge that finds nothing waits for 1.5 s and is then refused, with 503 and Retry-After for a body (an order: unknown, 502). header-timeout-ms and idle-timeout-ms of the configuration are applied. Attempts no longer copy the body. State dump, counters, log lines and docs/design/caller-memory.md.

--- a/cli/connections.go
+++ b/cli/connections.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"sync"
+
+	"acaciavane/io/caller"
 )
 
 // connTracker records which connections of callers have a request that is being read or answered.
@@ -19,6 +21,7 @@
 // observe is the ConnState hook of the callers' server. A connection leaves the active state only
 // after its answer was written.
 func (t *connTracker) observe(conn net.Conn, state http.ConnState) {
+	caller.Observe(conn, state)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if state == http.StateActive {
--- a/cli/entry.go
+++ b/cli/entry.go
@@ -140,18 +140,18 @@
 		handler = caller.New(i.clock, settings.Instance, i, i.counters, metrics.Observe, uuid.NewString, log).Handler()
 	}
 	conns := newConnTracker()
+	callers := newServer(handler, maxCallerHeadBytes)
+	callers.ConnState = conns.observe
+	callers.BaseContext = func(net.Listener) context.Context { return i.shutdown.Context() }
 	admin := operator.New(i.state, i.acceptsCallers, metrics, level, log)
 	return &entryServer{
-		instance: i,
-		log:      log,
-		metrics:  metrics,
-		callers: &http.Server{
-			Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: callerIdleTimeout, MaxHeaderBytes: maxCallerHeadBytes,
-			ConnState: conns.observe, BaseContext: func(net.Listener) context.Context { return i.shutdown.Context() },
-		},
+		instance:    i,
+		log:         log,
+		metrics:     metrics,
+		callers:     callers,
 		callerConns: conns,
 		ready:       ready,
-		admin:       &http.Server{Handler: admin.Handler(), ReadHeaderTimeout: readHeaderTimeout},
+		admin:       newServer(admin.Handler(), maxPortHeadBytes),
 		peers:       peer.NewServer(i.clock, i, i.counters, log),
 	}, nil
 }
@@ -182,26 +182,29 @@
 // listen opens all listeners and starts to serve them in the group. Errors of a server are
 // sent to failed.
 func (s *entryServer) listen(group *errgroup.Group, failed chan<- error) error {
-	settings := s.instance.settings
-	serve := []struct {
+	settings, ports := s.instance.settings, s.instance.ports
+	type port struct {
 		address string
-		serve   func(net.Listener) error
-	}{
-		{settings.CallerAddress, s.callers.Serve},
-		{settings.OperatorAddress, s.admin.Serve},
-		{settings.ListenPeerAddress, s.peers.Serve},
+		// budget is nil if the connections are not charged.
+		budget *core.ConnectionBudget
+		serve  func(net.Listener) error
+	}
+	serve := []port{
+		{settings.CallerAddress, ports.callers, s.callers.Serve},
+		{settings.OperatorAddress, ports.operator, s.admin.Serve},
+		{settings.ListenPeerAddress, nil, s.peers.Serve},
 	}
 	if s.ready != nil {
-		serve = append(serve, struct {
-			address string
-			serve   func(net.Listener) error
-		}{settings.ReadyAddress, s.ready.Serve})
+		serve = append(serve, port{settings.ReadyAddress, ports.ready, s.ready.Serve})
 	}
 	for _, server := range serve {
 		listener, err := net.Listen("tcp", server.address)
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", server.address, err)
 		}
+		if server.budget != nil {
+			listener = ports.charge(listener, server.budget)
+		}
 		if server.address == settings.CallerAddress {
 			s.callerListener = listener
 		}
--- a/cli/instance.go
+++ b/cli/instance.go
@@ -45,6 +45,7 @@
 	gates      *core.GateSet
 	orders     *core.Orders
 	peerClient *peer.Client
+	ports      ports
 	// routes is nil unless the instance has the routes interface.
 	routes  *routes
 	leaving atomic.Bool
@@ -76,6 +77,7 @@
 			Capacity:    settings.Capacity,
 		},
 	}
+	i.ports = i.newPorts()
 	i.shutdown = core.NewShutdown()
 	i.facts = core.NewFactLog(clock)
 	i.fleet = core.NewFleet(clock, settings.Zone, settings.Policy, i.recordFact)
@@ -313,6 +315,7 @@
 	group.Go(func() error { return i.peers.Run(ctx) })
 	group.Go(func() error { return i.watcher.Run(ctx) })
 	group.Go(func() error { return i.tokens.Run(ctx) })
+	group.Go(func() error { return i.expireConnections(ctx) })
 	if i.routes == nil {
 		group.Go(func() error { return i.prober.Run(ctx) })
 	} else {
@@ -483,6 +486,7 @@
 		RememberedOrders: i.orders.RunCount(),
 		ExtraLoadTokens:  i.budget.Tokens(),
 		Gates:            i.gates.State(),
+		Ports:            i.ports.states(),
 		Counters:         i.counters,
 	}
 }
--- a/cli/routes.go
+++ b/cli/routes.go
@@ -224,7 +224,7 @@
 		r.instance.awaitStart(ctx)
 		return r.instance.acceptsCallers()
 	}
-	return &http.Server{Handler: platform.ReadyHandler(ready), ReadHeaderTimeout: readHeaderTimeout}
+	return newServer(platform.ReadyHandler(ready), maxPortHeadBytes)
 }
 
 const (
--- a/core/counters.go
+++ b/core/counters.go
@@ -78,6 +78,14 @@
 	CountTokenFailures
 	// CountLimited counts requests refused because of request limits.
 	CountLimited
+	// CountCallerWaits counts charges of connections that waited for memory, and
+	// CountCallersRefused the requests that were refused for lack of it.
+	CountCallerWaits
+	CountCallersRefused
+	// CountCallersClosed counts connections that were closed under pressure or at a timeout.
+	CountCallersClosed
+	// CountAnswersDropped counts answers that were not sent for lack of memory.
+	CountAnswersDropped
 	counterCount
 )
 
@@ -124,6 +132,10 @@
 	CountTokenRequests:           "tokenRequests",
 	CountTokenFailures:           "tokenFailures",
 	CountLimited:                 "refusedByRequestLimit",
+	CountCallerWaits:             "callerMemoryWaits",
+	CountCallersRefused:          "callersRefusedForMemory",
+	CountCallersClosed:           "callerConnectionsClosed",
+	CountAnswersDropped:          "answersDroppedForMemory",
 }
 
 // String returns the name of the counter in metrics and state dumps, in camel case.
--- a/core/request.go
+++ b/core/request.go
@@ -74,6 +74,9 @@
 	ReasonDuplicateID       Reason = "duplicateRequestId"
 	ReasonOverloaded        Reason = "overloaded"
 	ReasonNotReady          Reason = "notReady"
+	// ReasonNoMemory refuses a request that was not read completely, because the memory is held
+	// for others.
+	ReasonNoMemory Reason = "noMemory"
 	// ReasonOtherConfiguration is sent to peers only. It refuses a delegated request because
 	// the sender has another configuration in force than this instance.
 	ReasonOtherConfiguration Reason = "otherConfiguration"
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 
@@ -21,6 +20,9 @@
 // for the other fields, such as names and identifiers.
 const maxEnvelopeBytes = 16 << 10
 
+// bodyCopies is how often a request is held: as it was received, and decoded.
+const bodyCopies = 2
+
 // Service runs the requests of callers.
 type Service interface {
 	Query(ctx context.Context, request core.Request) core.Answer
@@ -67,31 +69,32 @@
 func (s *Server) serveQuery(w http.ResponseWriter, r *http.Request) {
 	request, _, refused := s.read(w, r)
 	if answer, ok := refused.Get(); ok {
-		s.reply(w, answer)
+		s.reply(r.Context(), w, answer)
 		return
 	}
-	s.reply(w, s.service.Query(r.Context(), request))
+	s.reply(r.Context(), w, s.service.Query(r.Context(), request))
 }
 
 func (s *Server) serveOrder(w http.ResponseWriter, r *http.Request) {
 	request, ticketText, refused := s.read(w, r)
 	if answer, ok := refused.Get(); ok {
-		s.reply(w, s.unknownIfNotReady(answer))
+		s.reply(r.Context(), w, s.unknownIfNotReady(answer))
 		return
 	}
 	ticket, err := decodeTicket(ticketText)
 	if err != nil {
-		s.reply(w, s.refuse(request.ID, core.ReasonTicketInvalid, "an order needs a ticket from "+PathTickets))
+		s.reply(r.Context(), w, s.refuse(request.ID, core.ReasonTicketInvalid, "an order needs a ticket from "+PathTickets))
 		return
 	}
-	s.reply(w, s.service.Order(r.Context(), ticket, request))
+	s.reply(r.Context(), w, s.service.Order(r.Context(), ticket, request))
 }
 
-// unknownIfNotReady turns the refusal of an order by an instance that is not ready
-// into an unknown outcome, because the instance does not know whether the order was
-// sent before and ran elsewhere. It returns other refusals unchanged.
+// unknownIfNotReady turns the refusal of an order by an instance that is not ready, or
+// could not read it for lack of memory, into an unknown outcome, because the instance does
+// not know whether the order was sent before and ran elsewhere. It returns other refusals
+// unchanged.
 func (s *Server) unknownIfNotReady(refused core.Answer) core.Answer {
-	if refused.Reason != core.ReasonNotReady {
+	if refused.Reason != core.ReasonNotReady && refused.Reason != core.ReasonNoMemory {
 		return refused
 	}
 	unknown := core.Unknown(refused.RequestID, refused.Reason, refused.Detail)
@@ -101,7 +104,7 @@
 
 func (s *Server) serveTicket(w http.ResponseWriter, r *http.Request) {
 	if !s.service.Ready() {
-		s.reply(w, s.refuse("", core.ReasonNotReady, "the instance is not ready"))
+		s.reply(r.Context(), w, s.refuse("", core.ReasonNotReady, "the instance is not ready"))
 		return
 	}
 	ticket := s.service.MintTicket(r.Context())
@@ -120,12 +123,15 @@
 		s.counters.Add(core.CountMalformedRequests, 1)
 		return core.Request{}, "", core.Some(s.refuse(id, reason, detail))
 	}
-	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, core.MaxBodyBytes+maxEnvelopeBytes))
-	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			return refuse("", core.ReasonTooLarge, fmt.Sprintf("a request may have %d bytes", core.MaxBodyBytes))
-		}
+	raw, err := ReadBody(r, core.MaxBodyBytes+maxEnvelopeBytes, bodyCopies)
+	switch {
+	case errors.Is(err, core.ErrBudgetExhausted):
+		s.counters.Add(core.CountCallersRefused, 1)
+		CloseUnread(w)
+		return core.Request{}, "", core.Some(s.refuse("", core.ReasonNoMemory, "the memory for requests is exhausted"))
+	case errors.As(err, new(*http.MaxBytesError)):
+		return refuse("", core.ReasonTooLarge, fmt.Sprintf("a request may have %d bytes", core.MaxBodyBytes))
+	case err != nil:
 		return refuse("", core.ReasonMalformed, "the request could not be read")
 	}
 	body, err := decodeBody(raw)
@@ -195,14 +201,44 @@
 }
 
 // reply logs the answer, passes it to observe and sends it.
-func (s *Server) reply(w http.ResponseWriter, answer core.Answer) {
+func (s *Server) reply(ctx context.Context, w http.ResponseWriter, answer core.Answer) {
+	if size := answerCopies * recordBytes(answer); !HoldAnswer(ctx, size) {
+		s.counters.Add(core.CountAnswersDropped, 1)
+		answer = s.withoutRecords(answer)
+	}
 	s.observe(answer)
 	s.logAnswer(answer)
 	w.Header().Set("Acaciavane-Request-Id", headerValue(answer.RequestID))
 	w.Header().Set("Acaciavane-Outcome", string(answer.Outcome))
+	if answer.Outcome == core.OutcomeNotRun && answer.Reason == core.ReasonNoMemory {
+		w.Header().Set("Retry-After", RetryAfter())
+	}
 	s.writeJSON(w, statusOf(answer), toAnswerBody(answer))
 }
 
+// answerCopies is how often an answer is held: decoded, and as it is sent.
+const answerCopies = 2
+
+// recordBytes returns the approximate size of an answer, without what all answers have.
+func recordBytes(answer core.Answer) int {
+	total := len(answer.Result)
+	for _, record := range answer.Records {
+		total += len(record.Key) + len(record.Value) + recordEnvelopeBytes
+	}
+	return total
+}
+
+// recordEnvelopeBytes is what the names of the fields of a record take in an answer.
+const recordEnvelopeBytes = 64
+
+// withoutRecords returns the answer to a request that ran, but whose own answer can't be held
+// until its caller has read it.
+func (s *Server) withoutRecords(answer core.Answer) core.Answer {
+	unknown := core.Unknown(answer.RequestID, core.ReasonNoMemory, "the memory for answers is exhausted")
+	unknown.Instance, unknown.ConfigurationVersion, unknown.Elapsed = answer.Instance, answer.ConfigurationVersion, answer.Elapsed
+	return unknown
+}
+
 // headerValue replaces characters that are not allowed in a header value with '?'.
 func headerValue(text string) string {
 	return strings.Map(func(r rune) rune {
--- a/io/operator/settings.go
+++ b/io/operator/settings.go
@@ -77,8 +77,11 @@
 	Capacity int
 	// MemoryBytes is how much memory the instance may use, or 0 if the settings set no limit.
 	MemoryBytes int64
-	LogLevel    string
-	Policy      core.Policy
+	// FileDescriptors is how many file descriptors the process may open, or 0 if the settings
+	// set no limit.
+	FileDescriptors int
+	LogLevel        string
+	Policy          core.Policy
 }
 
 // DecodeSettings decodes the contents of a settings file. Its errors contain the file name.
@@ -122,6 +125,7 @@
 		settings.Capacity = readCapacity(root.Field("processor"))
 	}
 	settings.MemoryBytes = root.Field("memoryMegabytes").IntOr(minMemoryMegabytes, maxMemoryMegabytes, 0) << 20
+	settings.FileDescriptors = int(root.Field("fileDescriptors").IntOr(minFileDescriptors, maxFileDescriptors, 0))
 	if level := root.Field("logLevel"); level.Present() {
 		settings.LogLevel = level.OneOf(levelNames()...)
 	}
@@ -139,6 +143,10 @@
 	// minMemoryMegabytes and maxMemoryMegabytes, which is 1 TiB, bound the memory limit.
 	minMemoryMegabytes = 1
 	maxMemoryMegabytes = 1 << 20
+	// minFileDescriptors leaves a few connections to each port, and maxFileDescriptors bounds the
+	// setting.
+	minFileDescriptors = 64
+	maxFileDescriptors = 1 << 30
 	// maxSpeed bounds the speed of a core, as a multiple of a standard core's.
 	maxSpeed = 1024
 	// capacityUnit is the capacity of one standard core, in the unit of Settings.Capacity.
--- a/io/operator/state.go
+++ b/io/operator/state.go
@@ -27,9 +27,16 @@
 	// ExtraLoadTokens is the number of extra attempts that may be sent now.
 	ExtraLoadTokens float64
 	Gates           []core.GateState
+	Ports           []PortState
 	Counters        *core.Counters
 }
 
+// PortState is the state of the connections to one port.
+type PortState struct {
+	Port string
+	core.ConnectionBudgetState
+}
+
 // StateBody is the JSON form of State.
 type StateBody struct {
 	Instance          string            `json:"instance"`
@@ -52,6 +59,7 @@
 	Upstreams         []UpstreamBody    `json:"upstreams"`
 	Verdicts          []VerdictBody     `json:"verdicts"`
 	Gates             []GateBody        `json:"gates"`
+	Ports             []PortBody        `json:"ports"`
 	Counters          map[string]int64  `json:"counters"`
 }
 
@@ -129,6 +137,37 @@
 	BaselineMillis float64 `json:"calmLatencyMillis"`
 }
 
+// PortBody is the state of the connections to one port. A limit of 0 means none.
+type PortBody struct {
+	Port            string `json:"port"`
+	Connections     int    `json:"connections"`
+	ConnectionLimit int    `json:"connectionLimit"`
+	// Stalled is the number of connections that may be closed under pressure.
+	Stalled      int   `json:"stalledConnections"`
+	Bytes        int64 `json:"bytes"`
+	ByteLimit    int64 `json:"byteLimit"`
+	LargestBytes int64 `json:"largestBytes"`
+	// Waiting is the number of connections that wait for memory.
+	Waiting int `json:"waitingForMemory"`
+}
+
+func toPortBodies(ports []PortState) []PortBody {
+	bodies := make([]PortBody, 0, len(ports))
+	for _, port := range ports {
+		bodies = append(bodies, PortBody{
+			Port:            port.Port,
+			Connections:     port.Connections,
+			ConnectionLimit: port.Limits.Connections,
+			Stalled:         port.Stalled,
+			Bytes:           port.Bytes,
+			ByteLimit:       port.Limits.Bytes,
+			LargestBytes:    port.LargestBytes,
+			Waiting:         port.WaitingCharges,
+		})
+	}
+	return bodies
+}
+
 // VerdictBody is the verdict on whether requests with a fingerprint crash upstreams.
 type VerdictBody struct {
 	Fingerprint string `json:"fingerprint"`
@@ -158,6 +197,7 @@
 		Upstreams:         make([]UpstreamBody, 0, len(state.Upstreams)),
 		Verdicts:          make([]VerdictBody, 0, len(state.Verdicts)),
 		Gates:             make([]GateBody, 0, len(state.Gates)),
+		Ports:             toPortBodies(state.Ports),
 		Counters:          map[string]int64{},
 	}
 	for _, peer := range state.Peers {
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -51,9 +51,10 @@
 	Body   []byte
 }
 
-// encode returns the request in HTTP/1.1 wire format.
-func (r Request) encode() []byte {
-	raw := make([]byte, 0, 512+len(r.Body))
+// encodeHead returns the head of the request in HTTP/1.1 wire format. The body follows it on the
+// wire. It is not copied: all attempts of a request send the same bytes.
+func (r Request) encodeHead() []byte {
+	raw := make([]byte, 0, 512)
 	raw = append(raw, r.Method...)
 	raw = append(raw, ' ')
 	raw = append(raw, r.Target...)
@@ -71,8 +72,7 @@
 		raw = strconv.AppendInt(raw, int64(len(r.Body)), 10)
 		raw = append(raw, "\r\n"...)
 	}
-	raw = append(raw, "\r\n"...)
-	return append(raw, r.Body...)
+	return append(raw, "\r\n"...)
 }
 
 // Exchange sends a request on one connection and returns the complete reply.
@@ -146,7 +146,8 @@
 	stop := context.AfterFunc(ctx, func() { _ = pooled.conn.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
 	defer pooled.input.reset()
-	written, err := pooled.conn.Write(request.encode())
+	buffers := net.Buffers{request.encodeHead(), request.Body}
+	written, err := buffers.WriteTo(pooled.conn)
 	if err != nil {
 		if written == 0 {
 			return Response{}, false, &core.AttemptError{Kind: core.FailureNotSent, Detail: "write request", Cause: err}
