--- a/core/counters.go
+++ b/core/counters.go
@@ -92,6 +92,14 @@
 	CountEstimateChanges
 	// CountInvalidLoads counts replies with an invalid load.
 	CountInvalidLoads
+	// CountCallerWaits counts charges of connections that waited for memory, and
+	// CountCallersRefused the requests that were refused for lack of it.
+	CountCallerWaits
+	CountCallersRefused
+	// CountCallersClosed counts connections that were closed under pressure or at a timeout.
+	CountCallersClosed
+	// CountAnswersDropped counts answers that were not sent for lack of memory.
+	CountAnswersDropped
 	counterCount
 )
 
@@ -145,6 +153,10 @@
 	CountExplorations:            "explorations",
 	CountEstimateChanges:         "capacityEstimateChanges",
 	CountInvalidLoads:            "invalidLoadReports",
+	CountCallerWaits:             "callerMemoryWaits",
+	CountCallersRefused:          "callersRefusedForMemory",
+	CountCallersClosed:           "callerConnectionsClosed",
+	CountAnswersDropped:          "answersDroppedForMemory",
 }
 
 // String returns the name of the counter in metrics and state dumps, in camel case.
