--- a/cli/instance.go
+++ b/cli/instance.go
@@ -46,6 +46,7 @@
 	orders     *core.Orders
 	peerClient *peer.Client
 	ports      ports
+	upstreams  *upstream.Client
 	// routes is nil unless the instance has the routes interface.
 	routes  *routes
 	leaving atomic.Bool
@@ -172,6 +173,8 @@
 func (i *instance) wireComponents() {
 	dialer := newDialer(i.settings.SourceAddress)
 	upstreams := upstream.New(i.clock, dialer, i.counters)
+	upstreams.LogTo(i.log)
+	i.upstreams = upstreams
 	sources := i.chooseSources(dialer, upstreams)
 	i.prober = core.NewProber(i.clock, i.fleet, sources.probes)
 	i.store = core.NewStore(i.clock, sources.decoder, i.counters)
@@ -533,6 +536,7 @@
 		PlatformReader:   i.peers.ReadsPlatform(),
 		Peers:            i.peers.State(),
 		Upstreams:        i.fleet.State(),
+		ExtraInputs:      i.upstreams.ExtraInputs(),
 		Verdicts:         i.quarantine.State(),
 		RememberedOrders: i.orders.RunCount(),
 		ExtraLoadTokens:  i.budget.Tokens(),
