Confirm each request right before it is sent

Each request is now confirmed. The case 'without a wait, nothing is asked' of TestWaitForConnectionIsConfirmed asked for the opposite; it now asks that nothing is sent.

--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -327,7 +327,8 @@
 }
 
 // TestWaitForConnectionIsConfirmed guards against a request that is sent to an upstream that began to
-// leave while the request waited for a connection.
+// leave while the request waited for a connection, or while the process was suspended after the
+// permit for the request was granted.
 func TestWaitForConnectionIsConfirmed(t *testing.T) {
 	cases := []struct {
 		name string
@@ -339,7 +340,7 @@
 	}{
 		{"after a wait, the upstream is leaving", 50 * time.Millisecond, core.ErrNotSendable, 2, core.FailureNotSent},
 		{"after a wait, the upstream is in use", 50 * time.Millisecond, nil, 3, ""},
-		{"without a wait, nothing is asked", 0, core.ErrNotSendable, 3, ""},
+		{"without a wait, the upstream is leaving", 0, core.ErrNotSendable, 2, core.FailureNotSent},
 	}
 	Convey("A request that is sent", t, func() {
 		for _, tc := range cases {
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -15,8 +15,6 @@
 )
 
 const (
-	// confirmAfterMillis is the wait for a connection from which on Request.Confirm is called.
-	confirmAfterMillis = 5 * core.Millis(1)
 	// maxForeignReplies is how many replies to other requests are skipped on a
 	// connection before it is closed.
 	maxForeignReplies = 2
@@ -39,8 +37,8 @@
 	Host   string
 	Fields []core.Field
 	Body   []byte
-	// Confirm, if not nil, is called before the request is sent if it had to wait for a
-	// connection. The request is not sent if it returns an error.
+	// Confirm, if not nil, is called right before the request is sent. The request is not sent
+	// if it returns an error.
 	Confirm func(ctx context.Context) error
 }
 
@@ -85,13 +83,12 @@
 // Errors are *core.AttemptError.
 func (c *Client) Exchange(ctx context.Context, target core.Target, request Request, own func(http.Header) bool, check func(Response) error) (Response, error) {
 	pool := c.poolFor(target)
-	requested := c.clock.Now()
 	pooled, err := pool.acquire(ctx, request.ID)
 	if err != nil {
 		return Response{}, err
 	}
 	started := c.clock.Now()
-	if started-requested >= confirmAfterMillis && request.Confirm != nil {
+	if request.Confirm != nil {
 		if err := request.Confirm(ctx); err != nil {
 			pooled.lastUsed = started
 			pool.put(pooled)
