Faults: the text of copyInsideBodyTaken follows the code

The entry named a variable that was renamed before the change was committed, so the fault could not be applied. go run ./standin/faults -only copyInsideBodyTaken: detected by TestReplies.

--- a/standin/faults/list.go
+++ b/standin/faults/list.go
@@ -33,7 +33,7 @@
 	},
 	{
 		name: "copyInsideBodyTaken", file: "io/upstream/exchange.go",
-		old: "if pooled.bodyOverlaps(head, response.Body) {", new: "if false {",
+		old: "if pooled.bodyOverlaps(end, response.Body) {", new: "if false {",
 		pkg: "./platform", test: "TestReplies",
 	},
 	{
