--- a/core/peers_test.go
+++ b/core/peers_test.go
@@ -186,6 +186,8 @@
 			t.Errorf("the seed was found %d ms after it listened, want at most %d ms", found-bootDelay, maxDelay)
 		}
 		cancel()
-		<-stopped
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
 	})
 }
