--- a/cli/entry.go
+++ b/cli/entry.go
@@ -127,6 +127,7 @@
 		PlatformAge:     i.store.PlatformAge,
 		AlivePeers:      func() int { return len(i.peers.Alive()) },
 		ExtraLoadTokens: i.budget.Tokens,
+		Callers:         i.ports.callers.State,
 	})
 	if err != nil {
 		return nil, err
--- a/core/connbudget.go
+++ b/core/connbudget.go
@@ -96,8 +96,10 @@
 	used, large, returning int64
 	// waiting are the charges that wait, those of the accounts that hold the most first.
 	waiting []*pendingCharge
-	// opened is closed and replaced when another connection may have become admissible.
+	// opened is closed and replaced when another connection may have become admissible, if
+	// awaited is set.
 	opened  chan struct{}
+	awaited bool
 	sweptAt Millis
 }
 
@@ -171,6 +173,7 @@
 	now := b.clock.Now()
 	account := &ConnectionAccount{budget: b, abort: abort, phaseAt: now, progressAt: now}
 	if b.limits.Connections > 0 && len(b.accounts) >= b.limits.Connections || !b.fitsLocked(account, ConnectionBytes) {
+		b.awaited = true
 		return nil, b.opened
 	}
 	b.accounts[account] = struct{}{}
@@ -244,8 +247,8 @@
 	case a.closed || a.aborted:
 		b.mu.Unlock()
 		return errAccountClosed
-	case b.fitsLocked(a, bytes):
-		b.addLocked(a, bytes)
+	case bytes <= 0 || b.fitsLocked(a, bytes):
+		b.addLocked(a, max(0, bytes))
 		b.mu.Unlock()
 		return nil
 	}
@@ -316,8 +319,10 @@
 		b.addLocked(charge.account, charge.bytes)
 		b.resolveLocked(charge, nil)
 	}
-	close(b.opened)
-	b.opened = make(chan struct{})
+	if b.awaited {
+		close(b.opened)
+		b.opened, b.awaited = make(chan struct{}), false
+	}
 }
 
 // Return subtracts bytes from what the connection holds.
@@ -586,11 +591,24 @@
 // NewCallerLimits returns the limits on the connections of callers, for an instance with the given
 // memory and number of descriptors. Zero means no limit.
 func NewCallerLimits(memoryBytes int64, descriptors int) ConnectionLimits {
-	return ConnectionLimits{Bytes: memoryBytes / callerMemoryDivisor, Connections: descriptors / callerDescriptorsDivisor}
+	return newConnectionLimits(memoryBytes, callerMemoryDivisor, descriptors, callerDescriptorsDivisor)
 }
 
 // NewPortLimits returns the limits on the connections to another port, for the readiness checks or
 // for operators.
 func NewPortLimits(memoryBytes int64, descriptors int) ConnectionLimits {
-	return ConnectionLimits{Bytes: memoryBytes / portMemoryDivisor, Connections: descriptors / portDescriptorsDivisor}
+	return newConnectionLimits(memoryBytes, portMemoryDivisor, descriptors, portDescriptorsDivisor)
+}
+
+// newConnectionLimits divides the memory and the descriptors. A limit does not become 0, which means
+// none.
+func newConnectionLimits(memoryBytes, memoryDivisor int64, descriptors, descriptorsDivisor int) ConnectionLimits {
+	var limits ConnectionLimits
+	if memoryBytes > 0 {
+		limits.Bytes = max(1, memoryBytes/memoryDivisor)
+	}
+	if descriptors > 0 {
+		limits.Connections = max(1, descriptors/descriptorsDivisor)
+	}
+	return limits
 }
--- a/io/caller/body.go
+++ b/io/caller/body.go
@@ -36,11 +36,8 @@
 	}
 	account := accountOf(r.Context())
 	reader := bodyReader{ctx: r.Context(), account: account, body: http.MaxBytesReader(nil, r.Body, limit), copies: int64(copies)}
-	if account == nil {
-		return reader.read(r.ContentLength)
-	}
 	body, err := reader.read(r.ContentLength)
-	account.Enter(core.PhaseExecuting)
+	markExecuting(r.Context())
 	return body, err
 }
 
--- a/io/caller/conn.go
+++ b/io/caller/conn.go
@@ -226,6 +226,13 @@
 	return int64(total)
 }
 
+// markExecuting records that a request needs nothing more from its caller.
+func markExecuting(ctx context.Context) {
+	if account := accountOf(ctx); account != nil {
+		account.Enter(core.PhaseExecuting)
+	}
+}
+
 // HoldAnswer charges the connection for an answer that is about to be written, in place of its
 // request. It returns false if the answer must not be written, because the memory is held for
 // others. The charge ends with the request.
--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -103,6 +103,7 @@
 }
 
 func (s *Server) serveTicket(w http.ResponseWriter, r *http.Request) {
+	markExecuting(r.Context())
 	if !s.service.Ready() {
 		s.reply(r.Context(), w, s.refuse("", core.ReasonNotReady, "the instance is not ready"))
 		return
--- a/io/operator/metrics.go
+++ b/io/operator/metrics.go
@@ -31,6 +31,8 @@
 	PlatformAge          func() core.Millis
 	AlivePeers           func() int
 	ExtraLoadTokens      func() float64
+	// Callers returns the state of the connections of callers.
+	Callers func() core.ConnectionBudgetState
 }
 
 // latencyBuckets are the upper bounds, in seconds, of the latency histogram.
@@ -85,6 +87,8 @@
 		{"acaciavane.platformAgeMillis", func() float64 { return float64(gauges.PlatformAge()) }},
 		{"acaciavane.alivePeers", func() float64 { return float64(gauges.AlivePeers()) }},
 		{"acaciavane.extraLoadTokens", gauges.ExtraLoadTokens},
+		{"acaciavane.callerBytes", func() float64 { return float64(gauges.Callers().Bytes) }},
+		{"acaciavane.callerConnections", func() float64 { return float64(gauges.Callers().Connections) }},
 		{"acaciavane.processorSeconds", processorSeconds},
 	}
 	for _, definition := range definitions {
--- a/io/operator/operator_test.go
+++ b/io/operator/operator_test.go
@@ -61,6 +61,7 @@
 			PlatformAge:          func() core.Millis { return 5 },
 			AlivePeers:           func() int { return 1 },
 			ExtraLoadTokens:      func() float64 { return 10 },
+			Callers:              func() core.ConnectionBudgetState { return core.ConnectionBudgetState{Bytes: 4096, Connections: 3} },
 		})
 		So(err, ShouldBeNil)
 		metrics.Observe(core.Answer{Outcome: core.OutcomeAnswered, Elapsed: 12})
@@ -113,6 +114,7 @@
 		Convey("the metrics contain counters, gauges and latencies", func() {
 			_, raw := get(PathMetrics)
 			So(raw, ShouldContainSubstring, "acaciavane_hedges_total")
+			So(raw, ShouldContainSubstring, "acaciavane_callerBytes")
 			So(raw, ShouldContainSubstring, "acaciavane_configurationVersion")
 			So(raw, ShouldContainSubstring, `outcome="answered"`)
 		})
--- a/io/operator/settings.go
+++ b/io/operator/settings.go
@@ -143,9 +143,8 @@
 	// minMemoryMegabytes and maxMemoryMegabytes, which is 1 TiB, bound the memory limit.
 	minMemoryMegabytes = 1
 	maxMemoryMegabytes = 1 << 20
-	// minFileDescriptors leaves a few connections to each port, and maxFileDescriptors bounds the
-	// setting.
-	minFileDescriptors = 64
+	// minFileDescriptors and maxFileDescriptors bound the number of descriptors.
+	minFileDescriptors = 1
 	maxFileDescriptors = 1 << 30
 	// maxSpeed bounds the speed of a core, as a multiple of a standard core's.
 	maxSpeed = 1024
