--- a/core/census.go
+++ b/core/census.go
@@ -69,8 +69,8 @@
 
 // ColdShare implements CoordinatorSelector. The senders that this instance has heard of are divided
 // into those that it can reach and the others, which may have a coordinator of their own. While an
-// instance that is preferred to this one may be granting tokens to others, or may not know of this one
-// yet, this instance grants the share of the next one.
+// instance that is preferred to this one may be granting tokens to others, this instance grants the
+// share of the next one.
 func (p *Peers) ColdShare(zone string) float64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -90,11 +90,7 @@
 		}
 	}
 	share := float64(reached) / float64(max(1, known))
-	substitutes := p.preferredToSelf(senders, zone, now)
-	if len(p.peers) > 0 && now-p.startedAt < p.censusDelay() {
-		substitutes = max(substitutes, 1)
-	}
-	for range substitutes {
+	for range p.preferredToSelf(senders, zone, now) {
 		share *= ColdSubstituteShare
 	}
 	return share
