Signals in responses: leaving upstreams and pauses

Cause: an upstream that said in a response that it is leaving, or refused with Retry-After, got requests as before, and a leaving mark was lost when the upstream went missing from the list for a while, or when a peer's fact came before the list.

Change: Server-Leaving: 1 marks the incarnation as the list does and is passed on as the same fact; marks are kept by name, apart from the list. A 503 with Retry-After pauses the upstream for this instance, 60 s at most; the pause is checked for requests of all kinds, for probes, and when a permit is used. While all upstreams are paused, requests are rejected with the earliest end. The load returns over SlowStartMillis, and a refusal with a pause doesn't count as an error.

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -82,6 +82,7 @@
 	i.fleet.OnChange(i.logUpstream)
 	i.fleet.OnLimitChange(i.logLimit)
 	i.fleet.OnColdChange(i.logCold)
+	i.fleet.OnPauseChange(i.logPause)
 	i.fleet.OnInvalidSignals(i.logInvalidSignals)
 	if bound, ok := settings.ColdBound.Get(); ok {
 		i.fleet.SetColdBound(bound)
@@ -278,6 +279,16 @@
 	i.log.Info("upstream no longer cold", fields...)
 }
 
+// logPause logs that an upstream asks for a pause, or that it has ended.
+func (i *instance) logPause(change core.PauseChange) {
+	if change.Pause == 0 {
+		i.log.Info("upstream no longer paused", "upstream", change.Name, "service", change.Service)
+		return
+	}
+	i.counters.Add(core.CountUpstreamPauses, 1)
+	i.log.Info("upstream paused", "upstream", change.Name, "service", change.Service, "pauseMillis", int64(change.Pause))
+}
+
 // logInvalidSignals logs and counts what an upstream has stated about itself in a form that can't be
 // read.
 func (i *instance) logInvalidSignals(name string, fields []string) {
--- a/core/constants.go
+++ b/core/constants.go
@@ -306,10 +306,19 @@
 	// coordinator of others.
 	CensusSlackMillis = 1 * Second
 	// RampMinFraction is the fraction of its concurrency limit with which an upstream returns after
-	// a cold period. It rises to the whole over SlowStartMillis.
+	// a cold period or a pause. It rises to the whole over SlowStartMillis.
 	RampMinFraction = 0.25
 )
 
+// Signals in responses of upstreams.
+const (
+	// MaxPauseMillis is the longest pause of an upstream.
+	MaxPauseMillis = 1 * Minute
+	// MarksTTLMillis is how long it is remembered that an upstream is leaving after it was last in
+	// the instance list. An instance that takes over may have an old list.
+	MarksTTLMillis = 10 * Minute
+)
+
 // Aggregators: instances that send requests to upstreams on behalf of others.
 const (
 	// AggregatorCapacityRatio is the largest ratio of the highest capacity in the fleet to the
--- a/core/counters.go
+++ b/core/counters.go
@@ -82,6 +82,8 @@
 	CountColdPeriods
 	// CountInvalidSignals counts statements of upstreams about themselves that can't be read.
 	CountInvalidSignals
+	// CountUpstreamPauses counts pauses that upstreams asked for.
+	CountUpstreamPauses
 	counterCount
 )
 
@@ -130,6 +132,7 @@
 	CountLimited:                 "refusedByRequestLimit",
 	CountColdPeriods:             "coldPeriods",
 	CountInvalidSignals:          "invalidSignals",
+	CountUpstreamPauses:          "upstreamPauses",
 }
 
 // String returns the name of the counter in metrics and state dumps, in camel case.
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -81,7 +81,7 @@
 			if d.retry(ctx, result) || len(d.running) > 0 {
 				continue
 			}
-			return result.reply, result.failure
+			return result.reply, d.explainRefusal(result.failure)
 		case <-hedge.C:
 			if clock.Since(started)-hedgeAfter < TimerSlackMillis {
 				d.markSlow()
@@ -222,6 +222,20 @@
 	return false
 }
 
+// explainRefusal adds the time until an upstream accepts requests to a failure by refusal, if all of them
+// are paused.
+func (d *dispatch) explainRefusal(failure *AttemptError) *AttemptError {
+	if failure.Kind != FailureNotRun {
+		return failure
+	}
+	if paused := d.router.Fleet.pauseError(d.service); paused != nil {
+		explained := *failure
+		explained.Cause = paused
+		return &explained
+	}
+	return failure
+}
+
 // backOff waits a few milliseconds before an overloaded upstream is tried again.
 func (d *dispatch) backOff(ctx context.Context) bool {
 	return d.router.Clock.Sleep(ctx, jitter(2*ShedPauseMillis)) == nil
--- a/core/fleet.go
+++ b/core/fleet.go
@@ -29,6 +29,8 @@
 	coldBound Option[ColdBound]
 	// onColdChange, if set, is called when an upstream begins or ceases to be treated as cold.
 	onColdChange func(ColdChange)
+	// onPauseChange, if set, is called when an upstream begins or ceases to be paused.
+	onPauseChange func(PauseChange)
 	// onInvalidSignals, if set, is called when an upstream states something that can't be read.
 	onInvalidSignals func(name string, fields []string)
 
@@ -41,6 +43,8 @@
 	// limits holds the request limits by name of the upstream. Some of the upstreams may not
 	// be known yet.
 	limits map[string]*upstreamLimit
+	// marks holds what upstreams have stated about themselves, by name.
+	marks map[string]*upstreamMarks
 	// wanting names the upstreams that tokens are to be requested for.
 	wanting  Set[string]
 	services map[string]*service
@@ -94,6 +98,7 @@
 
 		tokenSignals: make(chan struct{}, 1),
 		limits:       map[string]*upstreamLimit{},
+		marks:        map[string]*upstreamMarks{},
 		wanting:      NewSet[string](),
 	}
 }
@@ -119,6 +124,7 @@
 	f.services = services
 	f.replicas = replicas
 	f.retainLimits()
+	f.retainMarks()
 	for _, s := range services {
 		f.grant(s)
 	}
@@ -138,7 +144,7 @@
 	f.limitOf(upstream.Name).cold.configure(f.coldLimit(spec), spec.ColdStart, f.clock.Now())
 	r, ok := f.replicas[upstream.Name]
 	if !ok || r.upstream.Address != upstream.Address || r.upstream.Zone != upstream.Zone || r.service != spec.Name {
-		return newReplica(spec, upstream, share, f.limitOf(upstream.Name))
+		return newReplica(spec, upstream, share, f.limitOf(upstream.Name), f.marksOf(upstream.Name))
 	}
 	r.upstream.Unlisted = upstream.Unlisted
 	if r.slots != spec.Slots || r.share != share {
@@ -162,8 +168,8 @@
 	f.observe(name, UpstreamStatus{Incarnation: incarnation, Phase: phase}, "instance list")
 }
 
-// MarkLeaving records that an incarnation of an upstream is leaving. Reports about
-// an earlier incarnation are ignored. It returns whether the upstream started
+// MarkLeaving records that an incarnation of an upstream, which may be unknown yet, is leaving. Reports
+// about an earlier incarnation are ignored. It returns whether the upstream started
 // leaving.
 func (f *Fleet) MarkLeaving(name string, incarnation uint64, source string) bool {
 	status := UpstreamStatus{Incarnation: incarnation, Phase: PhaseLeaving}
@@ -197,6 +203,9 @@
 	f.mu.Lock()
 	r, ok := f.replicas[name]
 	if !ok {
+		if status.Phase == PhaseLeaving {
+			f.marksOf(name).markLeaving(status.Incarnation, source, f.clock.Now())
+		}
 		f.mu.Unlock()
 		return false
 	}
--- a/core/limit.go
+++ b/core/limit.go
@@ -41,15 +41,20 @@
 	Sent int
 }
 
-// LimitedError means that a request was not sent because all upstreams that could run it are at
-// their request limits.
+// LimitedError means that a request was not sent because all upstreams that could run it are paused or
+// at their request limits.
 type LimitedError struct {
 	// Wait is the time until one of them may accept another request.
 	Wait Millis
+	// Paused is set if some of them have stated how long they accept no requests.
+	Paused bool
 }
 
 // Error implements the error interface.
 func (e *LimitedError) Error() string {
+	if e.Paused {
+		return fmt.Sprintf("all upstreams are paused or at their request limits for %d ms", e.Wait)
+	}
 	return fmt.Sprintf("all upstreams are at their request limits for %d ms", e.Wait)
 }
 
--- a/core/permit.go
+++ b/core/permit.go
@@ -34,10 +34,10 @@
 	return known && current == p.replica && p.replica.routable() && !p.outdated(f.clock.Now())
 }
 
-// outdated reports whether the upstream is cold and the permit has no token that is still valid: the
-// upstream has turned cold since the permit was granted, or the token has expired.
+// outdated reports whether the upstream was paused since the permit was granted, or is cold and the
+// permit has no token that is still valid: it has turned cold since, or the token has expired.
 func (p *Permit) outdated(now Millis) bool {
-	return p.replica.requestLimit.cold.active(now) && p.tokenExpires <= now
+	return p.replica.marks.paused(now) || p.replica.requestLimit.cold.active(now) && p.tokenExpires <= now
 }
 
 // confirm returns a function that waits until a suspension of the process, if there was one, is
@@ -114,8 +114,11 @@
 	f.mu.Lock()
 	switch failure.Kind {
 	case FailureNotRun:
-		p.replica.lowerLimit()
-		p.replica.raiseErrorRate()
+		// A pause already keeps requests away for as long as the upstream wants.
+		if !p.replica.marks.paused(now) {
+			p.replica.lowerLimit()
+			p.replica.raiseErrorRate()
+		}
 	case FailureTimeout:
 		p.replica.recordSlow(now-p.since, now)
 	case FailureNoSnapshot:
--- a/core/replica.go
+++ b/core/replica.go
@@ -30,6 +30,8 @@
 	limit float64
 	// requestLimit is the limit that the upstream names for all instances together.
 	requestLimit *upstreamLimit
+	// marks is what the upstream has stated about itself.
+	marks *upstreamMarks
 	// latency is a moving average, in milliseconds.
 	latency float64
 	// usedAt is when latency was last updated.
@@ -61,8 +63,8 @@
 	reportedInUse bool
 }
 
-func newReplica(service Service, upstream Upstream, share int, limit *upstreamLimit) *replica {
-	r := &replica{upstream: upstream, service: service.Name, healthPath: service.HealthPath, requestLimit: limit}
+func newReplica(service Service, upstream Upstream, share int, limit *upstreamLimit, marks *upstreamMarks) *replica {
+	r := &replica{upstream: upstream, service: service.Name, healthPath: service.HealthPath, requestLimit: limit, marks: marks}
 	r.resize(service.Slots, share)
 	return r
 }
@@ -106,7 +108,10 @@
 		r.snapshots = status.Snapshots
 	}
 	if status.Phase == PhaseLeaving {
-		r.markLeaving(source, now)
+		r.marks.markLeaving(status.Incarnation, source, now)
+	}
+	if r.marks.isLeaving(r.incarnation) {
+		r.markLeaving(r.marks.source, now)
 	}
 	if r.phase != PhaseLeaving {
 		r.phase = status.Phase
@@ -174,19 +179,25 @@
 }
 
 // rampedCapacity returns how many requests of this instance may be in flight now. After a cold period
-// it rises to the whole capacity over SlowStartMillis.
+// and after a pause it rises to the whole capacity over SlowStartMillis.
 func (r *replica) rampedCapacity(now Millis) int {
-	age := now - r.returnedAt()
-	if age < 0 || age >= SlowStartMillis {
+	age := now - r.returnedAt(now)
+	if age >= SlowStartMillis {
 		return r.capacity()
 	}
 	fraction := RampMinFraction + (1-RampMinFraction)*float64(age)/float64(SlowStartMillis)
 	return int(math.Ceil(float64(r.capacity()) * fraction))
 }
 
-// returnedAt returns when the upstream last returned to use after a cold period, or zero.
-func (r *replica) returnedAt() Millis {
-	return r.requestLimit.cold.end()
+// returnedAt returns when the last cold period or pause of the upstream ended, or zero.
+func (r *replica) returnedAt(now Millis) Millis {
+	latest := Millis(0)
+	for _, end := range []Millis{r.requestLimit.cold.end(), r.marks.pausedUntil} {
+		if end <= now {
+			latest = max(latest, end)
+		}
+	}
+	return latest
 }
 
 // hasCapacity reports whether one more request may be sent. An exclusive request
@@ -217,10 +228,7 @@
 	if r.upstream.Zone == zone {
 		score *= LocalBias
 	}
-	started := r.restartedAt
-	if returned := r.returnedAt(); returned <= now {
-		started = max(started, returned)
-	}
+	started := max(r.restartedAt, r.returnedAt(now))
 	if age := now - started; started > 0 && age < SlowStartMillis {
 		remaining := 1 - float64(age)/float64(SlowStartMillis)
 		score *= 1 + (SlowStartFactor-1)*remaining
--- a/core/replicastate.go
+++ b/core/replicastate.go
@@ -29,8 +29,10 @@
 	// time until that ends, or zero if the end is not known.
 	ColdLimit     Option[float64]
 	ColdRemaining Millis
-	HeardAt       Millis
-	EjectedUntil  Millis
+	// PausedFor is how much longer the upstream accepts no requests of this instance.
+	PausedFor    Millis
+	HeardAt      Millis
+	EjectedUntil Millis
 }
 
 // State returns the state of all upstreams, sorted by name.
@@ -69,6 +71,7 @@
 		Tokens:          len(r.requestLimit.tokens),
 		ColdLimit:       r.requestLimit.cold.limit(now),
 		ColdRemaining:   r.requestLimit.cold.remaining(now),
+		PausedFor:       max(0, r.marks.pausedUntil-now),
 		HeardAt:         r.heardAt,
 		EjectedUntil:    r.ejectedUntil,
 	}
--- a/core/router.go
+++ b/core/router.go
@@ -258,7 +258,12 @@
 // limits may retry. It varies, so that the callers do not return all at once.
 func retryAfterLimit(failure *AttemptError) Millis {
 	wait := max(RetrySoonMillis, limitWait(failure))
-	return wait + Millis(rand.Int64N(int64(wait)))
+	spread := wait
+	if limited := new(LimitedError); errors.As(failure.Cause, &limited) && limited.Paused {
+		// The load returns over this time.
+		spread = min(spread, SlowStartMillis)
+	}
+	return wait + Millis(rand.Int64N(int64(spread)))
 }
 
 // queueDeadline returns the time until which a request may wait for a free slot at an
--- a/core/selection.go
+++ b/core/selection.go
@@ -164,7 +164,7 @@
 	}
 	now := f.clock.Now()
 	for _, r := range f.eligible(s, want) {
-		if now-r.usedAt > ExploreIntervalMillis && !r.down && !r.ejected(now) && r.hasCapacity(false, now) && r.requestLimit.admits(now) {
+		if now-r.usedAt > ExploreIntervalMillis && !r.down && !r.ejected(now) && r.hasCapacity(false, now) && r.admits(now) {
 			return f.grantPermit(r, want, now)
 		}
 	}
--- a/core/token.go
+++ b/core/token.go
@@ -59,11 +59,11 @@
 	}
 }
 
-// withinLimits returns the candidates that may be sent a request without exceeding a request
-// limit. If one that may not is preferred to them, or if there are none and the request can't wait,
+// withinLimits returns the candidates that are not paused and may be sent a request without exceeding a
+// request limit. If one that may not is preferred to them, or if there are none and the request can't wait,
 // a token is requested for later requests. f.mu must be held.
 func (f *Fleet) withinLimits(s *service, candidates []*replica, want Want, now Millis) []*replica {
-	admits := func(r *replica) bool { return r.requestLimit.admits(now) }
+	admits := func(r *replica) bool { return r.admits(now) }
 	if !slices.ContainsFunc(candidates, func(r *replica) bool { return !admits(r) }) {
 		return candidates
 	}
@@ -83,7 +83,7 @@
 	var open []*replica
 	for _, r := range limited {
 		pending += r.requestLimit.pending()
-		if now >= r.requestLimit.blockedUntil {
+		if now >= r.requestLimit.blockedUntil && !r.marks.paused(now) {
 			open = append(open, r)
 		}
 	}
@@ -108,7 +108,7 @@
 // prefetchToken requests a token for a replica that is at its limit while others have room.
 func (f *Fleet) prefetchToken(r *replica, now Millis) {
 	limit := r.requestLimit
-	if limit.admits(now) || limit.pending() > 0 || now < max(limit.blockedUntil, limit.prefetchAt) {
+	if r.marks.paused(now) || limit.admits(now) || limit.pending() > 0 || now < max(limit.blockedUntil, limit.prefetchAt) {
 		return
 	}
 	limit.prefetchAt = now + jitter(TokenPrefetchMillis)
@@ -116,15 +116,15 @@
 }
 
 // limitWait returns how long it takes until one of the candidates may be sent a request, if all of
-// them are at their limits and no request for a token is pending. f.mu must be held.
+// them are paused, or at their limits and no request for a token is pending. f.mu must be held.
 func (f *Fleet) limitWait(candidates []*replica, now Millis) Option[Millis] {
 	wait := Millis(-1)
 	for _, r := range candidates {
-		limit := r.requestLimit
-		if limit.admits(now) || limit.pending() > 0 || limit.blockedUntil <= now {
+		blocked, ok := r.blockedFor(now).Get()
+		if !ok {
 			return None[Millis]()
 		}
-		if blocked := limit.blockedUntil - now; wait < 0 || blocked < wait {
+		if wait < 0 || blocked < wait {
 			wait = blocked
 		}
 	}
@@ -135,14 +135,15 @@
 }
 
 // limitedError returns a *LimitedError if the request can't be sent before want.WaitUntil because of
-// request limits, and nil otherwise. f.mu must be held.
+// pauses or request limits, and nil otherwise. f.mu must be held.
 func (f *Fleet) limitedError(s *service, want Want) error {
 	now := f.clock.Now()
-	wait, blocked := f.limitWait(f.usable(s, want, now), now).Get()
+	candidates := f.usable(s, want, now)
+	wait, blocked := f.limitWait(candidates, now).Get()
 	if !blocked || want.WaitUntil == 0 || now+wait < want.WaitUntil {
 		return nil
 	}
-	return &LimitedError{Wait: wait}
+	return &LimitedError{Wait: wait, Paused: anyPaused(candidates, now)}
 }
 
 // TakeTokenWants returns the tokens to request, by zone of the upstreams, for the zones that match.
@@ -247,8 +248,8 @@
 	return None[float64]()
 }
 
-// AdmitProbe reports whether a probe may be sent to the upstream. A probe of an upstream with a
-// request limit uses up a token. If there is none, one is requested for the next probe.
+// AdmitProbe reports whether a probe may be sent to the upstream. None is sent during a pause. A probe
+// of an upstream with a request limit uses up a token. If there is none, one is requested for the next probe.
 func (f *Fleet) AdmitProbe(name string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -257,7 +258,7 @@
 		return true
 	}
 	now := f.clock.Now()
-	if !r.requestLimit.admits(now) {
+	if !r.admits(now) {
 		f.prefetchToken(r, now)
 		return false
 	}
--- a/io/operator/state.go
+++ b/io/operator/state.go
@@ -117,6 +117,7 @@
 	// time until that ends, or 0 if the end is not known.
 	ColdLimit        *float64 `json:"coldLimitPerSecond"`
 	ColdForMillis    int64    `json:"coldForMillis"`
+	PausedForMillis  int64    `json:"pausedForMillis"`
 	HeardAgoMillis   int64    `json:"heardAgoMillis"`
 	EjectedForMillis int64    `json:"ejectedForMillis"`
 }
@@ -254,6 +255,7 @@
 		Tokens:           upstream.Tokens,
 		ColdLimit:        toNullable(upstream.ColdLimit),
 		ColdForMillis:    int64(upstream.ColdRemaining),
+		PausedForMillis:  int64(upstream.PausedFor),
 		HeardAgoMillis:   int64(now - upstream.HeardAt),
 		EjectedForMillis: int64(max(0, upstream.EjectedUntil-now)),
 	}
