--- a/core/counters.go
+++ b/core/counters.go
@@ -103,6 +103,8 @@
 	CountCallersClosed
 	// CountAnswersDropped counts answers that were not sent for lack of memory.
 	CountAnswersDropped
+	// CountUpstreamPauses counts pauses that upstreams asked for.
+	CountUpstreamPauses
 	counterCount
 )
 
@@ -161,6 +163,7 @@
 	CountCallersRefused:          "callersRefusedForMemory",
 	CountCallersClosed:           "callerConnectionsClosed",
 	CountAnswersDropped:          "answersDroppedForMemory",
+	CountUpstreamPauses:          "upstreamPauses",
 }
 
 // String returns the name of the counter in metrics and state dumps, in camel case.
--- a/core/selection.go
+++ b/core/selection.go
@@ -168,7 +168,7 @@
 	}
 	now := f.clock.Now()
 	for _, r := range f.eligible(s, want) {
-		if f.exploreDue(s, r, now) && !r.down && !r.ejected(now) && r.hasCapacity(false, now) && r.requestLimit.admits(now) {
+		if f.exploreDue(s, r, now) && !r.down && !r.ejected(now) && r.hasCapacity(false, now) && r.admits(now) {
 			if r.estimate != nil {
 				r.estimate.exploredAt = now
 			}
