--- a/core/signals_test.go
+++ b/core/signals_test.go
@@ -233,7 +233,7 @@
 	})
 }
 
-// pauses refuses with a pause after the given time.
+// requestsPause refuses with a pause after the given time.
 func requestsPause(pause, after Millis) behaviour {
 	return func(context.Context) (RoutedReply, error) {
 		time.Sleep(after.Duration())
