--- a/core/cold.go
+++ b/core/cold.go
@@ -212,7 +212,7 @@
 		return
 	}
 	if member.SlowStartRemaining < 0 {
-		f.reportInvalidSignals(member.Name, []string{"cold-remaining-ms"})
+		f.reportInvalidSignals(member.Name, []string{"slowStartRemaining"})
 		return
 	}
 	statement := ColdStatement{Kind: ColdStated, Remaining: member.SlowStartRemaining}
