--- a/core/permit.go
+++ b/core/permit.go
@@ -43,11 +43,15 @@
 }
 
 // confirm returns a function that waits until a suspension of the process, if there was one, is
-// dealt with, and then returns ErrNotSendable unless the upstream may still receive new requests.
+// dealt with, and then returns ErrNotSendable unless the upstream may still receive new requests. It
+// checks for a suspension only if the permit was granted at least maxCheckAge ago, because the check
+// costs a system call for each shard of a request.
 func (p *Permit) confirm(pause *PauseGuard) func(ctx context.Context) error {
 	return func(ctx context.Context) error {
-		if err := pause.Await(ctx); err != nil {
-			return err
+		if p.fleet.clock.Since(p.since) >= maxCheckAge {
+			if err := pause.Await(ctx); err != nil {
+				return err
+			}
 		}
 		if !p.Sendable() {
 			return ErrNotSendable
