--- a/core/coldfleet_test.go
+++ b/core/coldfleet_test.go
@@ -27,7 +27,9 @@
 func newColdFleet(instances int, perSecond float64, bound Option[ColdBound]) *coldUpstreams {
 	c := &coldUpstreams{perSecond: perSecond, until: map[string]Millis{}, since: map[string]Millis{}}
 	c.limitFleet = newLimitFleetWith(instances, func(l *limitFleet, i *limitInstance) {
-		c.limitFleet = l
+		if c.limitFleet == nil {
+			c.limitFleet = l
+		}
 		c.configure(i, bound)
 	})
 	c.limitFleet.signals = c.signals
--- a/core/signals_test.go
+++ b/core/signals_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -293,10 +294,10 @@
 				f := newRouterFixture(1, 2, tc.route)
 				f.set("s0-b", tc.other)
 				// refused is the time of the last response that asks for a pause.
-				refused := Millis(0)
+				var refusedAt atomic.Int64
 				f.set("s0-a", func(ctx context.Context) (RoutedReply, error) {
 					if now := f.since(); now >= 100 && now < 200 {
-						refused = f.since() + 1
+						refusedAt.Store(int64(f.since() + 1))
 						return requestsPause(5*Second, 1)(ctx)
 					}
 					return answers(10)(ctx)
@@ -305,6 +306,7 @@
 					go tc.send(f)
 					time.Sleep(20 * time.Millisecond)
 				}
+				refused := Millis(refusedAt.Load())
 				if got := f.sentDuring("s0-a", refused+500, refused+5*Second); got > 2 {
 					t.Errorf("%d requests during the pause, at most 2 may arrive", got)
 				}
--- a/io/upstream/client_test.go
+++ b/io/upstream/client_test.go
@@ -36,7 +36,7 @@
 	connections atomic.Int64
 	requests    atomic.Int64
 	// status is the reply to status requests. If it is nil, they are handled like others.
-	status *Status
+	status atomic.Pointer[Status]
 }
 
 // newUpstreamServer starts a server that passes each decoded request to handle.
@@ -44,8 +44,8 @@
 	s := &upstreamServer{}
 	s.Server = httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s.requests.Add(1)
-		if r.URL.Path == PathStatus && s.status != nil {
-			_ = json.NewEncoder(w).Encode(*s.status)
+		if status := s.status.Load(); r.URL.Path == PathStatus && status != nil {
+			_ = json.NewEncoder(w).Encode(*status)
 			return
 		}
 		var request SearchRequest
@@ -266,7 +266,7 @@
 			_ = json.NewEncoder(w).Encode(validReply(request))
 		})
 		defer server.Close()
-		server.status = &Status{Incarnation: 3, State: "live"}
+		server.status.Store(&Status{Incarnation: 3, State: "live"})
 		clock := core.NewClock()
 		client := New(clock, &net.Dialer{}, core.NewCounters())
 		_, err := client.Probe(context.Background(), server.target(3))
