Log and count the replies that failed attempts rejected

Callers got merged answers that named the signature of a failed reply. The logs could not tell whether the failure had been recognised: "attempt failed" named neither the signature nor the status, attempts that ended after the answer left no trace, and no metric counted the replies of shards by status.

- "attempt failed" has the status, signature and defect of the reply, also of an incomplete one, and whether the connection carried input that no request had asked for.
- A result that arrives after a dispatch has ended, such as that of a hedge that lost, was dropped unread in the channel of results.
It is read now, and logged as "attempt failed after the answer" if a reply was rejected.
Attempts that only were cancelled leave no line.
- "reply accepted beside extra input", and the signature of the copy in "upstream sends what was not asked for".
- Metrics unmergedShardReplies by status and badShardReplies by reason; the state dump has the same counters.

--- a/core/attempt.go
+++ b/core/attempt.go
@@ -121,7 +121,9 @@
 	Detail string
 	// Status is the status that the upstream reported, if any.
 	Status Option[UpstreamStatus]
-	Cause  error
+	// Rejected describes the reply that was not used, if at least its head was read.
+	Rejected RejectedReply
+	Cause    error
 }
 
 // Error implements the error interface.
--- a/core/counters.go
+++ b/core/counters.go
@@ -105,6 +105,19 @@
 	CountAnswersDropped
 	// CountUpstreamPauses counts pauses that upstreams asked for.
 	CountUpstreamPauses
+	// CountUnmerged1xx and the next ones count the replies of shards that were not merged because
+	// of their status, by its class.
+	CountUnmerged1xx
+	CountUnmerged3xx
+	CountUnmerged4xx
+	CountUnmerged5xx
+	// CountBadForeign and the next ones count the replies of shards with a defect.
+	CountBadForeign
+	CountBadAmbiguous
+	CountBadOverlap
+	CountBadUnsigned
+	CountBadTooLarge
+	CountBadOther
 	counterCount
 )
 
@@ -164,9 +177,49 @@
 	CountCallersClosed:           "callerConnectionsClosed",
 	CountAnswersDropped:          "answersDroppedForMemory",
 	CountUpstreamPauses:          "upstreamPauses",
+	CountUnmerged1xx:             "unmergedShardReplies1xx",
+	CountUnmerged3xx:             "unmergedShardReplies3xx",
+	CountUnmerged4xx:             "unmergedShardReplies4xx",
+	CountUnmerged5xx:             "unmergedShardReplies5xx",
+	CountBadForeign:              "badShardRepliesAnotherRequest",
+	CountBadAmbiguous:            "badShardRepliesAmbiguous",
+	CountBadOverlap:              "badShardRepliesOverlap",
+	CountBadUnsigned:             "badShardRepliesNoSignature",
+	CountBadTooLarge:             "badShardRepliesTooLarge",
+	CountBadOther:                "badShardRepliesOther",
 }
 
-// String returns the name of the counter in metrics and state dumps, in camel case.
+// Metric names the metric that exports a counter. Counters that share a metric differ in the value of
+// a label.
+type Metric struct {
+	Name       string
+	Label      string
+	LabelValue string
+}
+
+// sharedMetrics are the metrics of the counters that share one.
+var sharedMetrics = map[Counter]Metric{
+	CountUnmerged1xx:  {"unmergedShardReplies", "status", "1xx"},
+	CountUnmerged3xx:  {"unmergedShardReplies", "status", "3xx"},
+	CountUnmerged4xx:  {"unmergedShardReplies", "status", "4xx"},
+	CountUnmerged5xx:  {"unmergedShardReplies", "status", "5xx"},
+	CountBadForeign:   {"badShardReplies", "reason", string(DefectForeign)},
+	CountBadAmbiguous: {"badShardReplies", "reason", string(DefectAmbiguous)},
+	CountBadOverlap:   {"badShardReplies", "reason", string(DefectOverlap)},
+	CountBadUnsigned:  {"badShardReplies", "reason", string(DefectUnsigned)},
+	CountBadTooLarge:  {"badShardReplies", "reason", string(DefectTooLarge)},
+	CountBadOther:     {"badShardReplies", "reason", "other"},
+}
+
+// Metric returns the metric that exports the counter.
+func (c Counter) Metric() Metric {
+	if metric, ok := sharedMetrics[c]; ok {
+		return metric
+	}
+	return Metric{Name: c.String()}
+}
+
+// String returns the name of the counter in state dumps, in camel case.
 func (c Counter) String() string {
 	return counterNames[c]
 }
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -38,9 +38,11 @@
 	arrivals     int
 	possibleRuns int
 	results      chan routedResult
-	// sent is set once an attempt has been started. Unlike the other fields, it may
+	// sent is set once an attempt has been started. Unlike the fields above, it may
 	// be read while the dispatch runs.
 	sent atomic.Bool
+	// closed is set when run returns. Results that arrive later are only recorded.
+	closed atomic.Bool
 }
 
 // routedResult is the result of one attempt.
@@ -57,6 +59,7 @@
 	d.failed = NewSet[string]()
 	d.running = map[*Permit]struct{}{}
 	d.results = make(chan routedResult, MaxArrivals+1)
+	defer d.close()
 	if !d.recorded {
 		d.router.RetryBudget.Earn(d.service)
 	}
@@ -75,6 +78,7 @@
 		case result := <-d.results:
 			delete(d.running, result.permit)
 			if result.failure == nil {
+				d.logExtraInput(result)
 				d.explore()
 				return result.reply, nil
 			}
@@ -129,7 +133,12 @@
 	d.running[permit] = struct{}{}
 	d.sent.Store(true)
 	d.router.Counters.Add(CountAttempts, 1)
-	go func() { d.results <- d.send(permit) }()
+	go func() {
+		d.results <- d.send(permit)
+		if d.closed.Load() {
+			d.recordUnused()
+		}
+	}()
 }
 
 // explore sends the request once more, to an upstream whose estimate is outdated, if a repeat is
@@ -233,8 +242,8 @@
 		d.arrivals--
 	}
 	d.router.countFailure(failure)
-	d.router.logEvent(d.request, "attempt failed", "service", d.service, "upstream", name,
-		"failure", string(failure.Kind), "detail", failure.Error())
+	d.countRejected(result)
+	d.logFailure("attempt failed", result)
 }
 
 // retry sends the request to another upstream after a failure and reports whether it
--- a/core/message.go
+++ b/core/message.go
@@ -81,6 +81,8 @@
 	Load Option[UpstreamLoad]
 	// LoadInvalid is whether a part of the reported load was invalid and left out.
 	LoadInvalid bool
+	// ExtraInput is whether the connection also carried input that is no reply to the request.
+	ExtraInput bool
 	// Limit is what the upstream said about its request limit.
 	Limit LimitStatement
 	// Signals is what the upstream stated about itself.
--- a/io/operator/metrics.go
+++ b/io/operator/metrics.go
@@ -64,19 +64,35 @@
 }
 
 func registerCounters(meter metric.Meter, counters *core.Counters) error {
+	byMetric := map[string][]core.Counter{}
 	for _, counter := range counters.All() {
-		_, err := meter.Int64ObservableCounter("acaciavane."+counter.String(),
+		name := counter.Metric().Name
+		byMetric[name] = append(byMetric[name], counter)
+	}
+	for name, shared := range byMetric {
+		_, err := meter.Int64ObservableCounter("acaciavane."+name,
 			metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
-				o.Observe(counters.Get(counter))
+				for _, counter := range shared {
+					o.Observe(counters.Get(counter), counterAttributes(counter))
+				}
 				return nil
 			}))
 		if err != nil {
-			return fmt.Errorf("create counter %s: %w", counter, err)
+			return fmt.Errorf("create counter %s: %w", name, err)
 		}
 	}
 	return nil
 }
 
+// counterAttributes returns the label that tells the counter from others of the same metric.
+func counterAttributes(counter core.Counter) metric.MeasurementOption {
+	shared := counter.Metric()
+	if shared.Label == "" {
+		return metric.WithAttributes()
+	}
+	return metric.WithAttributes(attribute.String(shared.Label, shared.LabelValue))
+}
+
 func registerGauges(meter metric.Meter, gauges Gauges) error {
 	definitions := []struct {
 		name string
--- a/io/upstream/client.go
+++ b/io/upstream/client.go
@@ -58,7 +58,7 @@
 		pool.close()
 	}
 	created := newConnPool(c.clock, c.dialer, c.budget, target)
-	created.onExtra = func(input extraInput) { c.recordExtra(created, input) }
+	created.onExtra = func(input extraInput) { c.recordExtra(created, input, "") }
 	c.pools[target.Name] = created
 	return created
 }
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,6 +38,9 @@
 	Host   string
 	Fields []core.Field
 	Body   []byte
+	// SignatureField is the name of the header field with the signature of a reply, for errors and
+	// logs. It is empty if replies have none.
+	SignatureField string
 	// Confirm, if not nil, is called right before the request is sent. The request is not sent
 	// if it returns an error.
 	Confirm func(ctx context.Context) error
@@ -47,6 +51,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// ExtraInput is whether the connection also carried input that is no reply to the request.
+	ExtraInput bool
 }
 
 // encodeHead returns the head of the request in HTTP/1.1 wire format. The body follows it on the
@@ -98,11 +104,16 @@
 	pooled.recordRequest(request)
 	response, keep, err := c.roundTrip(ctx, pooled, request, own)
 	if pooled.extra != "" {
-		c.recordExtra(pool, pooled.extra)
+		c.recordExtra(pool, pooled.extra, pooled.extraSignature)
+		response.ExtraInput = true
 	}
 	if err == nil {
 		err = check(response)
 	}
+	if err != nil {
+		pooled.describeRejected(err, request.SignatureField)
+	}
+	pooled.lastHead = nil
 	if keep && pooled.remembersAll() && reusable(err) {
 		pooled.lastUsed = c.clock.Now()
 		pool.put(pooled)
@@ -165,12 +176,33 @@
 			return response, open && pooled.extra == "", nil
 		}
 		c.counters.Add(core.CountForeignReplies, 1)
-		pooled.extra = extraReply
+		pooled.extra, pooled.extraSignature = extraReply, signatures(response.Header, request.SignatureField)
 		if end.closes || pooled.mixesMethods() {
 			break
 		}
 	}
-	return Response{}, false, badReply("the connection carries replies to other requests")
+	foreign := badReply("the connection carries replies to other requests")
+	foreign.Rejected.Defect = core.DefectForeign
+	return Response{}, false, foreign
+}
+
+// describeRejected adds the last head that was read to the error of the attempt.
+func (p *pooledConn) describeRejected(err error, signatureField string) {
+	var failure *core.AttemptError
+	if !errors.As(err, &failure) {
+		return
+	}
+	failure.Rejected.ExtraInput = p.extra != ""
+	if p.lastHead != nil {
+		failure.Rejected.Status = p.lastHead.StatusCode
+		failure.Rejected.Signature = signatures(p.lastHead.Header, signatureField)
+	}
+}
+
+// signatures returns the signatures in the head of a reply, separated by commas. A head that consists
+// of parts of two may have several.
+func signatures(header http.Header, field string) string {
+	return strings.Join(header[http.CanonicalHeaderKey(field)], ", ")
 }
 
 // replyEnd is how the end of a reply was found.
@@ -193,6 +225,9 @@
 	if method != http.MethodHead {
 		body, err = readBody(head)
 	}
+	if errors.Is(err, errReplyTooLarge) {
+		return Response{}, replyEnd{}, tooLarge("read body")
+	}
 	if err != nil && !isConnectionError(err) {
 		return Response{}, replyEnd{}, &core.AttemptError{Kind: core.FailureBadReply, Detail: "read body", Cause: err}
 	}
@@ -214,9 +249,11 @@
 			return nil, exchangeError(ctx, "read reply", err)
 		}
 		if headOverlaps(head) {
+			p.lastHead = head
 			return nil, p.overlap()
 		}
 		if head.StatusCode >= http.StatusOK || head.StatusCode == http.StatusSwitchingProtocols {
+			p.lastHead = head
 			return head, nil
 		}
 	}
@@ -287,7 +324,7 @@
 // already have been sent.
 func exchangeError(ctx context.Context, detail string, err error) error {
 	if errors.Is(err, errReplyTooLarge) {
-		return &core.AttemptError{Kind: core.FailureBadReply, Detail: detail, Cause: err}
+		return tooLarge(detail)
 	}
 	if ctx.Err() != nil {
 		return &core.AttemptError{Kind: core.FailureTimeout, Detail: detail, Cause: fmt.Errorf("%w: %w", ctx.Err(), err)}
@@ -295,6 +332,11 @@
 	return &core.AttemptError{Kind: core.FailureLost, Detail: detail, Cause: err}
 }
 
+func tooLarge(detail string) *core.AttemptError {
+	return &core.AttemptError{Kind: core.FailureBadReply, Detail: detail, Cause: errReplyTooLarge,
+		Rejected: core.RejectedReply{Defect: core.DefectTooLarge}}
+}
+
 func badReply(detail string) *core.AttemptError {
 	return &core.AttemptError{Kind: core.FailureBadReply, Detail: detail}
 }
--- a/io/upstream/extra.go
+++ b/io/upstream/extra.go
@@ -45,7 +45,7 @@
 }
 
 // add counts one extra input and logs it, at most once in extraLogInterval for each upstream.
-func (l *extraLog) add(target core.Target, input extraInput) {
+func (l *extraLog) add(target core.Target, input extraInput, signature string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	count, known := l.upstreams[target.Name]
@@ -57,8 +57,11 @@
 	if known && l.clock.Since(count.loggedAt) < extraLogInterval {
 		return
 	}
-	l.log.Info("upstream sends what was not asked for", "upstream", target.Name, "service", target.Service,
-		"input", string(input), "times", count.total-count.logged)
+	fields := []any{"upstream", target.Name, "service", target.Service, "input", string(input), "times", count.total - count.logged}
+	if signature != "" {
+		fields = append(fields, "signature", core.LoggedSignature(signature))
+	}
+	l.log.Info("upstream sends what was not asked for", fields...)
 	count.logged, count.loggedAt = count.total, l.clock.Now()
 }
 
@@ -95,8 +98,8 @@
 	return c.extra.counts()
 }
 
-// recordExtra counts and logs an extra input.
-func (c *Client) recordExtra(pool *connPool, input extraInput) {
+// recordExtra counts and logs an extra input. signature is that of a reply to another request.
+func (c *Client) recordExtra(pool *connPool, input extraInput, signature string) {
 	c.counters.Add(core.CountExtraInputs, 1)
-	c.extra.add(pool.target, input)
+	c.extra.add(pool.target, input, signature)
 }
--- a/io/upstream/lanes.go
+++ b/io/upstream/lanes.go
@@ -49,8 +49,12 @@
 	// sentHead and sentOther are set once a request with the method HEAD, or another one, was
 	// sent.
 	sentHead, sentOther bool
-	// extra says which input arrived that is no reply to the request, or is empty.
-	extra extraInput
+	// extra says which input arrived that is no reply to the request, or is empty. extraSignature is
+	// the signature of a reply to another request.
+	extra          extraInput
+	extraSignature string
+	// lastHead is the last final head that was read for the current request, or nil.
+	lastHead *http.Response
 }
 
 // idSeed is the seed of the hashes of request IDs, which callers choose.
--- a/io/upstream/overlap.go
+++ b/io/upstream/overlap.go
@@ -161,5 +161,6 @@
 // overlap records that another reply begins inside the reply, and returns the error for it.
 func (p *pooledConn) overlap() *core.AttemptError {
 	p.extra = extraInsideReply
-	return &core.AttemptError{Kind: core.FailureBadReply, Detail: "read reply", Cause: errOverlap}
+	return &core.AttemptError{Kind: core.FailureBadReply, Detail: "read reply", Cause: errOverlap,
+		Rejected: core.RejectedReply{Defect: core.DefectOverlap}}
 }
