Log by which path the parts of a merged answer came

Callers got merged answers that named the signature of a failed reply, and no line said whether the parts came directly, from a hedge or from another instance's group.

- "answered" and "answered in part" count the parts by source, name the gatherers, and count the rejected replies.
"answered" is at the info level now if a reply was rejected, since such answers are the ones to trace; the others stay at the debug level, and their fields are built at that level only.
- A gatherer logs the shards that it reports without a reply, with the ID of the request.
- "parts merged" lists service, sender, source, status and signature of each part (128 at most), for one answer in 10 s at each instance and for each answer at the debug level.

The slice of parts is allocated once, for all shards, in place of growing.

--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -26,6 +26,8 @@
 	recorded bool
 	// avoid holds upstreams that another instance has probably tried.
 	avoid Set[string]
+	// besideGroup is set if the shard is in a group, too.
+	besideGroup bool
 
 	// exclude holds the upstreams of avoid and those at which an attempt has failed.
 	exclude Set[string]
@@ -33,11 +35,16 @@
 	// FailureNotRun. The others may be tried again after a pause.
 	failed  Set[string]
 	running map[*Permit]struct{}
+	// hedged is the attempt that was sent beside a late one, and used the one whose reply is
+	// returned.
+	hedged, used *Permit
 	// arrivals counts the attempts that may have reached an upstream, and possibleRuns
 	// those that an upstream may have run.
 	arrivals     int
 	possibleRuns int
-	results      chan routedResult
+	// rejected counts the replies that were rejected and may have run.
+	rejected int
+	results  chan routedResult
 	// sent is set once an attempt has been started. Unlike the fields above, it may
 	// be read while the dispatch runs.
 	sent atomic.Bool
@@ -78,6 +85,7 @@
 		case result := <-d.results:
 			delete(d.running, result.permit)
 			if result.failure == nil {
+				d.used = result.permit
 				d.logExtraInput(result)
 				d.explore()
 				return result.reply, nil
@@ -242,6 +250,9 @@
 		d.arrivals--
 	}
 	d.router.countFailure(failure)
+	if result.rejected().Status != 0 && !failure.ProvesNotRun() {
+		d.rejected++
+	}
 	d.countRejected(result)
 	d.logFailure("attempt failed", result)
 }
@@ -315,13 +326,20 @@
 		return
 	}
 	exclude := d.exclude.Union(NewSet[string]())
+	var late *Permit
 	for permit := range d.running {
+		late = permit
 		exclude.Add(permit.Target().Name)
 	}
 	if d.start(ctx, Want{Exclude: exclude, NoWait: true}) != nil {
 		d.router.RetryBudget.Refund(d.service)
 		return
 	}
+	for permit := range d.running {
+		if permit != late {
+			d.hedged = permit
+		}
+	}
 	d.router.Counters.Add(CountHedges, 1)
 	d.router.Log.V(1).Info("hedged", "request", d.request.ID, "service", d.service)
 }
--- a/core/group.go
+++ b/core/group.go
@@ -254,7 +254,9 @@
 		if batch.size() == 0 || (pending > 0 && (!isDue || len(results) > 0)) {
 			continue
 		}
-		if err := report(batch.report(s.route.TopK)); err != nil {
+		next, parts := batch.report(s.route.TopK)
+		s.logReport(next, parts)
+		if err := report(next); err != nil {
 			return err
 		}
 		batch, isDue = &reportBatch{}, false
@@ -283,17 +285,18 @@
 
 func (b *reportBatch) size() int { return len(b.replies) + len(b.failed) + len(b.notRun) }
 
-func (b *reportBatch) report(topK int) GroupReport {
+// report returns the report and the parts that it contains.
+func (b *reportBatch) report(topK int) (GroupReport, []Part) {
 	slices.SortFunc(b.replies, func(x, y shardResult) int { return x.shard - y.shard })
 	slices.Sort(b.failed)
 	slices.Sort(b.notRun)
 	report := GroupReport{Failed: b.failed, NotRun: b.notRun}
-	var parts []Part
+	parts := make([]Part, 0, len(b.replies))
 	for _, result := range b.replies {
 		report.Shards = append(report.Shards, result.shard)
 		report.Signatures = append(report.Signatures, result.reply.Signature)
-		parts = append(parts, Part{Records: result.reply.Body})
+		parts = append(parts, result.part())
 	}
 	report.Records = MergeTop(parts, topK)
-	return report
+	return report, parts
 }
--- a/core/message.go
+++ b/core/message.go
@@ -110,6 +110,40 @@
 	Service   string
 	Signature string
 	Records   []byte
+	// Sender is the upstream that replied, or the instance that gathered the part in a group.
+	Sender string
+	Source PartSource
+	// Status is the status of the reply, or zero in a group.
+	Status int
+}
+
+// PartSource says how a part was received.
+type PartSource int
+
+// The sources of parts.
+const (
+	SourceDirect PartSource = iota
+	// SourceHedge means a second attempt beside a late one, or beside a group.
+	SourceHedge
+	// SourceGroup means that another instance gathered the part.
+	SourceGroup
+)
+
+// String returns the name of the source in log lines.
+func (s PartSource) String() string {
+	return [...]string{SourceDirect: "direct", SourceHedge: "hedge", SourceGroup: "group"}[s]
+}
+
+// PartCounts counts the parts of a merged answer by their source.
+type PartCounts struct {
+	Direct int
+	Hedges int
+	Groups int
+	// Gatherers names some of the instances that gathered groups, for the log.
+	Gatherers string
+	// Rejected is the number of replies of shards that were rejected and may have run, those of
+	// late attempts not included. A shard that a group reports as failed counts as one.
+	Rejected int
 }
 
 // RoutedAnswer is the answer to the caller of a routed request.
@@ -130,6 +164,8 @@
 	Reply Option[RoutedReply]
 	// Merged is set when several shards answered.
 	Merged Option[MergedReply]
+	// Parts says how this instance gathered the parts of Merged. It is zero if a delegate did.
+	Parts PartCounts
 	// RetryAfter is how long a refused caller should wait before it retries.
 	RetryAfter Millis
 	// CloseConnection asks the caller to open a new connection for its next request.
--- a/core/router.go
+++ b/core/router.go
@@ -46,6 +46,8 @@
 	crashes   *crashDetector
 	offloader *offloader
 	inFlight  atomic.Int64
+	// partsLogged is when the parts of an answer were last logged, in Millis.
+	partsLogged atomic.Int64
 }
 
 // NewRouter returns a router that has no routes until Apply is called.
@@ -331,9 +333,16 @@
 	r.logAnswer(request, answer)
 }
 
-// logAnswer logs an answer: at the debug level if it is complete, at the info level if not.
-// A complete answer also proves that the request does not crash upstreams.
+// logAnswer logs an answer: at the debug level if it is complete and no reply was rejected, at the
+// info level if not. A complete answer also proves that the request does not crash upstreams.
 func (r *Router) logAnswer(request RoutedRequest, answer RoutedAnswer) {
+	merged, _ := answer.Merged.Get()
+	if answer.Outcome == OutcomeAnswered && merged.Missing == 0 {
+		r.crashes.survived(request.fingerprint)
+		if answer.Parts.Rejected == 0 && !r.Log.V(1).Enabled() {
+			return
+		}
+	}
 	fields := []any{"route", answer.Route, "configuration", answer.ConfigurationVersion,
 		"attempts", answer.Attempts, "elapsedMillis", int64(r.Clock.Since(request.Arrived))}
 	for name, value := range map[string]string{"service": answer.Service, "shards": answer.MissingShards, "delegate": answer.Delegate} {
@@ -341,7 +350,7 @@
 			fields = append(fields, name, value)
 		}
 	}
-	merged, _ := answer.Merged.Get()
+	fields = append(fields, answer.Parts.logFields()...)
 	switch {
 	case answer.Outcome == OutcomeNotRun:
 		r.logEvent(request, "refused", append(fields, "reason", string(answer.Reason), "detail", answer.Detail,
@@ -350,8 +359,9 @@
 		r.logEvent(request, "outcome unknown", append(fields, "reason", string(answer.Reason), "detail", answer.Detail)...)
 	case merged.Missing > 0:
 		r.logEvent(request, "answered in part", append(fields, "missing", merged.Missing)...)
+	case answer.Parts.Rejected > 0:
+		r.logEvent(request, "answered", fields...)
 	default:
-		r.crashes.survived(request.fingerprint)
 		r.Log.V(1).Info("answered", append([]any{"request", request.ID}, fields...)...)
 	}
 }
--- a/core/scatter.go
+++ b/core/scatter.go
@@ -33,6 +33,8 @@
 	pendingSources []int
 	dispatches     []*dispatch
 	failedShards   int
+	// rejected is PartCounts.Rejected.
+	rejected int
 	// arrivals counts the attempts that may have reached an upstream, and possibleRuns those
 	// that an upstream may have run.
 	arrivals     int
@@ -73,7 +75,7 @@
 	shards := len(g.route.Shards)
 	return &scatterGather{
 		router: g.router, route: g.route, request: g.request, deadline: g.deadline, version: g.table.version,
-		answered: NewSet[string](), pendingSources: make([]int, shards), dispatches: make([]*dispatch, shards),
+		parts: make([]Part, 0, shards), answered: NewSet[string](), pendingSources: make([]int, shards), dispatches: make([]*dispatch, shards),
 	}
 }
 
@@ -194,6 +196,7 @@
 func (s *scatterGather) handleResult(result shardResult) {
 	s.arrivals += result.dispatch.arrivals
 	s.possibleRuns += result.dispatch.possibleRuns
+	s.rejected += result.dispatch.rejected
 	service := result.dispatch.service
 	switch {
 	case s.answered.Has(service):
@@ -202,7 +205,7 @@
 		s.removeSource(result.shard)
 	default:
 		s.answered.Add(service)
-		s.parts = append(s.parts, Part{Service: service, Signature: result.reply.Signature, Records: result.reply.Body})
+		s.parts = append(s.parts, result.part())
 	}
 }
 
@@ -227,10 +230,11 @@
 		s.router.logEvent(s.request, "group report refused", "delegate", group.gatherer.Name)
 		return
 	}
-	s.addReport(report)
+	s.addReport(group, report)
 	executed := len(report.Shards) + len(report.Failed)
 	s.arrivals += executed + len(report.NotRun)
 	s.possibleRuns += executed
+	s.rejected += len(report.Failed)
 	for _, shard := range report.Shards {
 		delete(group.unreported, shard)
 	}
@@ -244,7 +248,7 @@
 
 // addReport adds the parts of a report. Its records are merged and can't be split by shard,
 // so the report replaces any part of its shards that was received directly.
-func (s *scatterGather) addReport(report GroupReport) {
+func (s *scatterGather) addReport(group *shardGroup, report GroupReport) {
 	records := report.Records
 	for i, shard := range report.Shards {
 		service := s.route.Shards[shard]
@@ -252,7 +256,9 @@
 			s.parts = slices.DeleteFunc(s.parts, func(p Part) bool { return p.Service == service })
 		}
 		s.answered.Add(service)
-		s.parts = append(s.parts, Part{Service: service, Signature: report.Signatures[i], Records: records})
+		s.parts = append(s.parts, Part{
+			Service: service, Signature: report.Signatures[i], Records: records, Sender: group.gatherer.Name, Source: SourceGroup,
+		})
 		records = nil
 	}
 }
@@ -318,7 +324,7 @@
 		return
 	}
 	d := s.newDispatch(s.attemptCtx, shard, s.router.queueDeadline(s.route, s.deadline))
-	d.recorded = true
+	d.recorded, d.besideGroup = true, true
 	d.avoid = s.router.Fleet.UpstreamsInZone(service, group.gatherer.Zone)
 	d.route.MaxAttempts = attemptsLeft
 	s.router.Counters.Add(CountHedges, 1)
@@ -373,7 +379,9 @@
 			signatures[i] = part.Signature
 		}
 		slices.Sort(signatures)
+		s.router.logParts(s.request, s.parts)
 		return RoutedAnswer{
+			Parts:         s.countParts(),
 			Outcome:       OutcomeAnswered,
 			Merged:        Some(MergedReply{Signatures: signatures, Missing: missing, Records: MergeTop(s.parts, s.route.TopK)}),
 			MissingShards: strings.Join(s.missingShards(), " "),
