Sample the parts of answers at the debug level, too

At the debug level the description of the parts was built for each answer, also for those whose line the limit of the log then left out.

--- a/core/constants.go
+++ b/core/constants.go
@@ -264,8 +264,9 @@
 	// delay of 3 ms, twice for a caller that opens a connection.
 	CloseMarginMillis = 16 * Millis(1)
 	// PartsLogIntervalMillis is the shortest time between two log lines with the parts of an answer,
-	// unless the log level is debug. Such a line has an entry for each shard.
+	// and PartsLogDebugMillis the same at the debug level. Such a line has an entry for each shard.
 	PartsLogIntervalMillis = 10 * Second
+	PartsLogDebugMillis    = 20 * Millis(1)
 	// SlotWaitFactor times the latency objective is how long a request may wait for a free
 	// slot at an upstream before it is refused.
 	SlotWaitFactor = 0.2
--- a/core/parts.go
+++ b/core/parts.go
@@ -70,8 +70,7 @@
 	return fields
 }
 
-// logParts logs the parts of one answer in PartsLogIntervalMillis, and of each answer at the debug
-// level.
+// logParts logs the parts of a sample of the answers.
 func (r *Router) logParts(request RoutedRequest, parts []Part) {
 	if len(parts) == 0 || !r.partsDue() {
 		return
@@ -85,9 +84,12 @@
 
 // partsDue reports whether the parts of an answer are to be logged now.
 func (r *Router) partsDue() bool {
+	interval := PartsLogIntervalMillis
+	if r.Log.V(1).Enabled() {
+		interval = PartsLogDebugMillis
+	}
 	now, logged := int64(r.Clock.Now()), r.partsLogged.Load()
-	sampled := now-logged >= int64(PartsLogIntervalMillis) && r.partsLogged.CompareAndSwap(logged, now)
-	return sampled || r.Log.V(1).Enabled()
+	return now-logged >= int64(interval) && r.partsLogged.CompareAndSwap(logged, now)
 }
 
 // describe returns the service, the sender, the source, the status and the signature of the part,
