explain: find a signature in the logs

A caller that got a merged answer with the signature of a failed reply has that signature and not the cause.

--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -254,7 +254,7 @@
 		d.rejected++
 	}
 	d.countRejected(result)
-	d.logFailure("attempt failed", result)
+	d.logFailure(MessageAttemptFailed, result)
 }
 
 // retry sends the request to another upstream after a failure and reports whether it
--- a/core/parts.go
+++ b/core/parts.go
@@ -79,7 +79,7 @@
 	for _, part := range parts[:min(len(parts), maxNamedParts)] {
 		described = append(described, part.describe())
 	}
-	r.logEvent(request, "parts merged", "count", len(parts), "parts", described)
+	r.logEvent(request, MessagePartsMerged, "count", len(parts), "parts", described)
 }
 
 // partsDue reports whether the parts of an answer are to be logged now.
--- a/core/rejected.go
+++ b/core/rejected.go
@@ -30,6 +30,15 @@
 	DefectTooLarge ReplyDefect = "tooLarge"
 )
 
+// The messages of log lines by which a signature is traced.
+const (
+	MessageAttemptFailed = "attempt failed"
+	// MessageLateFailure is logged for an attempt whose result was not needed any more.
+	MessageLateFailure = "attempt failed after the answer"
+	MessagePartsMerged = "parts merged"
+	MessageExtraInput  = "upstream sends what was not asked for"
+)
+
 // maxLoggedSignatureBytes is the length at which signatures are cut in the log. Upstreams choose
 // them.
 const maxLoggedSignatureBytes = 128
@@ -78,7 +87,7 @@
 		return
 	}
 	d.countRejected(result)
-	d.logFailure("attempt failed after the answer", result)
+	d.logFailure(MessageLateFailure, result)
 }
 
 // logFailure logs a failed attempt with the reply that was rejected, if any.
--- a/io/operator/story.go
+++ b/io/operator/story.go
@@ -33,6 +33,15 @@
 	Service  string
 	Upstream string
 	Shards   string
+	// Signatures are the signatures of the reply that the line is about.
+	Signatures []string
+	// Parts are the descriptions of the parts of an answer, each with its signature at the end.
+	Parts []string
+	// Defect and ExtraInput describe the reply of an attempt.
+	Defect     string
+	ExtraInput bool
+	// LeftOut is how many lines with the same message were left out before this one.
+	LeftOut int
 	// Text is the line as it was read.
 	Text string
 }
@@ -46,6 +55,12 @@
 	Service  string    `json:"service"`
 	Upstream string    `json:"upstream"`
 	Shards   shardList `json:"shards"`
+
+	Signature  string   `json:"signature"`
+	Parts      partList `json:"parts"`
+	Defect     string   `json:"defect"`
+	ExtraInput bool     `json:"extraInput"`
+	LeftOut    int      `json:"leftOut"`
 }
 
 // shardList is the text that names shards. Some lines of former versions have their number there,
@@ -60,6 +75,18 @@
 	return json.Unmarshal(raw, (*string)(s))
 }
 
+// partList holds the descriptions of the parts of an answer. Lines of other kinds may have something else
+// there.
+type partList []string
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (p *partList) UnmarshalJSON(raw []byte) error {
+	if err := json.Unmarshal(raw, (*[]string)(p)); err != nil {
+		*p = nil
+	}
+	return nil
+}
+
 // lineStart is the beginning of each line.
 const lineStart = `{"time":`
 
@@ -100,6 +127,7 @@
 	return LogLine{
 		Time: wire.Time, Message: wire.Message, Instance: wire.Instance, Request: wire.Request,
 		Service: wire.Service, Upstream: wire.Upstream, Shards: string(wire.Shards), Text: text,
+		Signatures: strings.Split(wire.Signature, ", "), Parts: wire.Parts, Defect: wire.Defect, ExtraInput: wire.ExtraInput, LeftOut: wire.LeftOut,
 	}, nil
 }
 
@@ -115,8 +143,7 @@
 // from contextBefore ahead of the request's first line until its last line. The result is
 // empty if no line names the request.
 func RequestTimeline(lines []LogLine, request string) []LogLine {
-	sorted := slices.Clone(lines)
-	slices.SortStableFunc(sorted, func(a, b LogLine) int { return a.Time.Compare(b.Time) })
+	sorted := sortedByTime(lines)
 	scope := newRequestScope(sorted, request)
 	if scope.last.IsZero() {
 		return nil
@@ -124,6 +151,13 @@
 	return slices.DeleteFunc(sorted, func(line LogLine) bool { return !scope.includes(line) })
 }
 
+// sortedByTime returns the lines in order of time.
+func sortedByTime(lines []LogLine) []LogLine {
+	sorted := slices.Clone(lines)
+	slices.SortStableFunc(sorted, func(a, b LogLine) int { return a.Time.Compare(b.Time) })
+	return sorted
+}
+
 // requestScope holds the instances, services and upstreams that a request's lines name, and
 // the times of its first and last line.
 type requestScope struct {
--- a/io/upstream/extra.go
+++ b/io/upstream/extra.go
@@ -61,7 +61,7 @@
 	if signature != "" {
 		fields = append(fields, "signature", core.LoggedSignature(signature))
 	}
-	l.log.Info("upstream sends what was not asked for", fields...)
+	l.log.Info(core.MessageExtraInput, fields...)
 	count.logged, count.loggedAt = count.total, l.clock.Now()
 }
 
