Trial of the three causes with explain; part without a used attempt

Trials on this code, each with one check removed and TestSignaturesInLogs run: without the check of the status in dispatch.checkReply, explain says "no instance recorded a failure with signature failed; n1 merged it for request r1: s0 us0 direct 404 failed"; without headOverlaps, the same of "joined" with status 200; with failed replies merged in scatterGather.handleResult, "n1 recorded that the attempt of request r1 at us0 failed with signature failed; n1 merged it ...". The logs of the last two are cases of TestTraceSignature now, and the copy in TestSignaturesInLogs turns a failure into a success, as in the users' answers.

The third trial found that a part could not be built of a result whose dispatch had failed, for lack of the attempt. dispatch.used is set for each result now.

--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -35,7 +35,7 @@
 	// FailureNotRun. The others may be tried again after a pause.
 	failed  Set[string]
 	running map[*Permit]struct{}
-	// hedged is the attempt that was sent beside a late one, and used the one whose reply is
+	// hedged is the attempt that was sent beside a late one, and used the one whose result is
 	// returned.
 	hedged, used *Permit
 	// arrivals counts the attempts that may have reached an upstream, and possibleRuns
@@ -84,8 +84,8 @@
 		select {
 		case result := <-d.results:
 			delete(d.running, result.permit)
+			d.used = result.permit
 			if result.failure == nil {
-				d.used = result.permit
 				d.logExtraInput(result)
 				d.explore()
 				return result.reply, nil
--- a/io/operator/signature_test.go
+++ b/io/operator/signature_test.go
@@ -17,6 +17,13 @@
 	copiedLog = `{"time":"2026-12-06T08:00:01Z","level":"INFO","msg":"attempt failed","instance":"n1","request":"r0","service":"s1","upstream":"u1","failure":"upstreamError","detail":"status 404","status":404,"signature":"sig"}
 {"time":"2026-12-06T08:00:02Z","level":"INFO","msg":"upstream sends what was not asked for","instance":"n1","upstream":"u1","service":"s1","input":"reply to another request","times":1,"signature":"sig"}
 {"time":"2026-12-06T08:00:03Z","level":"INFO","msg":"attempt failed","instance":"n1","request":"r1","service":"s1","upstream":"u1","failure":"badReply","detail":"overlap","status":404,"signature":"sig, sig2","defect":"overlap","extraInput":true}
+`
+	// The beginning of a copy changed the status, and no instance noticed it.
+	joinedLog = `{"time":"2026-12-06T08:00:02Z","level":"INFO","msg":"parts merged","instance":"n1","request":"r1","count":1,"parts":["s1 u1 direct 200 sig"]}
+`
+	// The failure was recognised, and merged nevertheless.
+	mergedLog = `{"time":"2026-12-06T08:00:01Z","level":"INFO","msg":"attempt failed","instance":"n1","request":"r1","service":"s1","upstream":"u1","failure":"upstreamError","detail":"status 404","status":404,"signature":"sig"}
+{"time":"2026-12-06T08:00:02Z","level":"INFO","msg":"parts merged","instance":"n1","request":"r1","count":1,"parts":["s1 u1 direct 404 sig"]}
 `
 	// The failure was recognised by the gatherer of a group.
 	recognisedLog = `{"time":"2026-12-06T08:00:01Z","level":"INFO","msg":"attempt failed","instance":"n2","request":"r1","service":"s1","upstream":"u1","failure":"upstreamError","detail":"status 404","status":404,"signature":"sig","leftOut":3}
@@ -45,6 +52,10 @@
 		{"a status that was ignored", statusIgnoredLog, "sig", "no instance recorded a failure with signature sig; n1 merged it for request r1: s1 u1 direct 404 sig", 1},
 		{"a copy", copiedLog, "sig", "n1 read signature sig from u1 in a copy of a reply, or beside one", 3},
 		{"a reply joined with a copy", copiedLog, "sig2", "n1 read signature sig2 from u1 in a copy of a reply, or beside one", 2},
+		{"a reply joined with a copy that was not noticed", joinedLog, "sig",
+			"no instance recorded a failure with signature sig; n1 merged it for request r1: s1 u1 direct 200 sig", 1},
+		{"a failure that was recognised and merged", mergedLog, "sig",
+			"n1 recorded that the attempt of request r1 at u1 failed with signature sig; n1 merged it for request r1: s1 u1 direct 404 sig", 2},
 		{"a failure that was recognised by a gatherer", recognisedLog, "sig",
 			"n2 recorded that the attempt of request r1 at u1 failed with signature sig (the logs lack 3 lines about failed attempts)", 3},
 		{"a failure that was recognised after the answer", lateLog, "sig", "n1 recorded that the attempt of request r1 at u1 failed with signature sig", 1},
