--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -26,6 +26,8 @@
 	recorded bool
 	// avoid holds upstreams that another instance has probably tried.
 	avoid Set[string]
+	// besideGroup is set if the shard is in a group, too.
+	besideGroup bool
 
 	// exclude holds the upstreams of avoid and those at which an attempt has failed.
 	exclude Set[string]
@@ -33,14 +35,21 @@
 	// FailureNotRun. The others may be tried again after a pause.
 	failed  Set[string]
 	running map[*Permit]struct{}
+	// hedged is the attempt that was sent beside a late one, and used the one whose result is
+	// returned.
+	hedged, used *Permit
 	// arrivals counts the attempts that may have reached an upstream, and possibleRuns
 	// those that an upstream may have run.
 	arrivals     int
 	possibleRuns int
-	results      chan routedResult
-	// sent is set once an attempt has been started. Unlike the other fields, it may
+	// rejected counts the replies that were rejected and may have run.
+	rejected int
+	results  chan routedResult
+	// sent is set once an attempt has been started. Unlike the fields above, it may
 	// be read while the dispatch runs.
 	sent atomic.Bool
+	// closed is set when run returns. Results that arrive later are only recorded.
+	closed atomic.Bool
 }
 
 // routedResult is the result of one attempt.
@@ -57,6 +66,7 @@
 	d.failed = NewSet[string]()
 	d.running = map[*Permit]struct{}{}
 	d.results = make(chan routedResult, MaxArrivals+1)
+	defer d.close()
 	if !d.recorded {
 		d.router.RetryBudget.Earn(d.service)
 	}
@@ -74,7 +84,9 @@
 		select {
 		case result := <-d.results:
 			delete(d.running, result.permit)
+			d.used = result.permit
 			if result.failure == nil {
+				d.logExtraInput(result)
 				d.explore()
 				return result.reply, nil
 			}
@@ -129,7 +141,12 @@
 	d.running[permit] = struct{}{}
 	d.sent.Store(true)
 	d.router.Counters.Add(CountAttempts, 1)
-	go func() { d.results <- d.send(permit) }()
+	go func() {
+		d.results <- d.send(permit)
+		if d.closed.Load() {
+			d.recordUnused()
+		}
+	}()
 }
 
 // explore sends the request once more, to an upstream whose estimate is outdated, if a repeat is
@@ -233,8 +250,11 @@
 		d.arrivals--
 	}
 	d.router.countFailure(failure)
-	d.router.logEvent(d.request, "attempt failed", "service", d.service, "upstream", name,
-		"failure", string(failure.Kind), "detail", failure.Error())
+	if result.rejected().Status != 0 && !failure.ProvesNotRun() {
+		d.rejected++
+	}
+	d.countRejected(result)
+	d.logFailure(MessageAttemptFailed, result)
 }
 
 // retry sends the request to another upstream after a failure and reports whether it
@@ -306,13 +326,20 @@
 		return
 	}
 	exclude := d.exclude.Union(NewSet[string]())
+	var late *Permit
 	for permit := range d.running {
+		late = permit
 		exclude.Add(permit.Target().Name)
 	}
 	if d.start(ctx, Want{Exclude: exclude, NoWait: true}) != nil {
 		d.router.RetryBudget.Refund(d.service)
 		return
 	}
+	for permit := range d.running {
+		if permit != late {
+			d.hedged = permit
+		}
+	}
 	d.router.Counters.Add(CountHedges, 1)
 	d.router.Log.V(1).Info("hedged", "request", d.request.ID, "service", d.service)
 }
