Refuse a body whose end was displaced by a few bytes of a copy

A body with a length could hold the first bytes of a second copy of an earlier reply in place of its last bytes, and pass for a whole one. Bytes after the body counted only if it held a whole status line.

Bytes that have arrived behind a body are now always compared with it, without a wait: n inserted bytes displace n bytes, so the body holds the first n bytes of a status line (12 at most), or ends in them. If it does not, the bytes are extra, and the reply stands as before. The socket is looked at only if the last read filled its buffer.

Weighed: refusing each reply that bytes follow. Upstreams may add bytes after a whole reply, and these would be lost. By the rule above they are lost if the body holds as many bytes of a status line as follow.

--- a/io/upstream/intake.go
+++ b/io/upstream/intake.go
@@ -59,6 +59,8 @@
 	// is the part of it that is reserved from the budget.
 	cost     int
 	reserved int
+	// filled is set if the last read filled its buffer, so that more input may have arrived.
+	filled bool
 }
 
 // Read implements io.Reader.
@@ -67,6 +69,7 @@
 		return 0, errReplyTooLarge
 	}
 	count, err := r.conn.Read(buffer)
+	r.filled = count == len(buffer)
 	if r.inHead {
 		r.headBytes += count
 		r.cost += headMemoryFactor * count
--- a/io/upstream/overlap.go
+++ b/io/upstream/overlap.go
@@ -16,6 +16,8 @@
 
 const (
 	versionPrefix = "HTTP/1."
+	// statusPattern is the beginning of a status line. v is a minor version and d a digit.
+	statusPattern = versionPrefix + "v ddd"
 	// minStatusBytes is the length of the shortest part of a status line that is recognised in
 	// a head: the version and a digit of the status.
 	minStatusBytes = len(versionPrefix) + len("1 2")
@@ -32,10 +34,9 @@
 // beginsReply reports whether data begins with the status line of a reply, or with the part of
 // one that fits into data.
 func beginsReply[T string | []byte](data T) bool {
-	const pattern = versionPrefix + "v ddd"
-	for i := range min(len(data), len(pattern)) {
+	for i := range min(len(data), len(statusPattern)) {
 		char := data[i]
-		switch pattern[i] {
+		switch statusPattern[i] {
 		case 'v':
 			if char != '0' && char != '1' {
 				return false
@@ -45,7 +46,7 @@
 				return false
 			}
 		default:
-			if char != pattern[i] {
+			if char != statusPattern[i] {
 				return false
 			}
 		}
@@ -112,7 +113,11 @@
 		return false
 	}
 	if end.hasLength {
-		return indexReply(body) >= 0 && p.hasInput()
+		following := p.following()
+		if len(following) == 0 && indexReply(body) >= 0 {
+			following = p.awaitInput()
+		}
+		return isDisplaced(body, following)
 	}
 	for at := indexReply(body); at >= 0; at = indexReply(body) {
 		if holdsHead(body[at:]) {
@@ -123,6 +128,32 @@
 	return false
 }
 
+// isDisplaced reports whether the bytes that follow a body may be its own last bytes, displaced by
+// the beginning of another reply. The beginning is as long as the bytes that it displaces, of which
+// some may not have arrived, so the body contains at least as many bytes of a status line as follow.
+// The body may end inside that beginning; the rest of it follows then.
+func isDisplaced(body, following []byte) bool {
+	count := min(len(following), len(statusPattern))
+	if count == 0 {
+		return false
+	}
+	window := make([]byte, 0, len(statusPattern))
+	for at := 0; at < len(body); at++ {
+		next := bytes.IndexByte(body[at:], versionPrefix[0])
+		if next < 0 {
+			return false
+		}
+		at += next
+		inside := min(count, len(body)-at)
+		window = append(window[:0], body[at:at+inside]...)
+		window = append(window, following[:count-inside]...)
+		if beginsReply(window) {
+			return true
+		}
+	}
+	return false
+}
+
 // holdsHead reports whether data, which begins like a status line, continues like a head as far as
 // it goes, or for maxHeadLines. Less than a version is not enough.
 func holdsHead(data []byte) bool {
@@ -146,16 +177,27 @@
 	return true
 }
 
-// hasInput reports whether bytes follow within overlapWait. It is called after the deadline of the
-// request no longer applies to the connection.
-func (p *pooledConn) hasInput() bool {
-	if p.reader.Buffered() > 0 {
-		return true
+// following returns the first bytes that have arrived after the reply, as many as a status line
+// takes at most. It does not wait. Like awaitInput it is called after the deadline of the request no
+// longer applies to the connection.
+func (p *pooledConn) following() []byte {
+	if p.reader.Buffered() == 0 && p.input.filled {
+		_ = p.conn.SetReadDeadline(time.Time{})
+		if inputOf(p.conn) == inputPending {
+			_, _ = p.reader.Peek(1)
+		}
 	}
+	following, _ := p.reader.Peek(min(p.reader.Buffered(), len(statusPattern)))
+	return following
+}
+
+// awaitInput waits for bytes after the reply, for overlapWait at most, and returns them like
+// following.
+func (p *pooledConn) awaitInput() []byte {
 	_ = p.conn.SetReadDeadline(time.Now().Add(overlapWait))
-	_, err := p.reader.Peek(1)
+	_, _ = p.reader.Peek(1)
 	_ = p.conn.SetReadDeadline(time.Time{})
-	return err == nil
+	return p.following()
 }
 
 // overlap records that another reply begins inside the reply, and returns the error for it.
