--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -37,6 +37,9 @@
 	Host   string
 	Fields []core.Field
 	Body   []byte
+	// ReplyFields are the header fields whose absence from the reply would change how it is judged. A
+	// reply is refused if another one begins inside the name of such a field.
+	ReplyFields []string
 	// Confirm, if not nil, is called right before the request is sent. The request is not sent
 	// if it returns an error.
 	Confirm func(ctx context.Context) error
@@ -148,7 +151,7 @@
 		return Response{}, false, exchangeError(ctx, "write request", err)
 	}
 	for range maxForeignReplies + 1 {
-		response, end, err := pooled.readReply(ctx, request.Method)
+		response, end, err := pooled.readReply(ctx, request)
 		if err != nil {
 			return Response{}, false, err
 		}
@@ -183,14 +186,14 @@
 }
 
 // readReply returns the next final reply on the connection.
-func (p *pooledConn) readReply(ctx context.Context, method string) (Response, replyEnd, error) {
-	head, err := p.readHead(ctx, method)
+func (p *pooledConn) readReply(ctx context.Context, request Request) (Response, replyEnd, error) {
+	head, err := p.readHead(ctx, request)
 	if err != nil {
 		return Response{}, replyEnd{}, err
 	}
 	defer func() { _ = head.Body.Close() }()
 	var body []byte
-	if method != http.MethodHead {
+	if request.Method != http.MethodHead {
 		body, err = readBody(head)
 	}
 	if err != nil && !isConnectionError(err) {
@@ -205,15 +208,15 @@
 }
 
 // readHead returns the head of the next final reply and skips interim replies.
-func (p *pooledConn) readHead(ctx context.Context, method string) (*http.Response, error) {
+func (p *pooledConn) readHead(ctx context.Context, request Request) (*http.Response, error) {
 	p.input.beginHead()
 	defer p.input.endHead()
 	for range maxInterimReplies + 1 {
-		head, err := http.ReadResponse(p.reader, &http.Request{Method: method})
+		head, err := http.ReadResponse(p.reader, &http.Request{Method: request.Method})
 		if err != nil {
 			return nil, exchangeError(ctx, "read reply", err)
 		}
-		if headOverlaps(head) {
+		if headOverlaps(head, request.ReplyFields) {
 			return nil, p.overlap()
 		}
 		if head.StatusCode >= http.StatusOK || head.StatusCode == http.StatusSwitchingProtocols {
--- a/io/upstream/overlap.go
+++ b/io/upstream/overlap.go
@@ -74,12 +74,19 @@
 	return -1
 }
 
-// headOverlaps reports whether another reply begins inside the head.
-func headOverlaps(head *http.Response) bool {
+// framingFields are the header fields that decide where a reply ends.
+var framingFields = []string{"Content-Length", "Transfer-Encoding"}
+
+// headOverlaps reports whether another reply begins inside the head. Less than minStatusBytes of it
+// are recognised in the names of framingFields and of the given fields only.
+func headOverlaps(head *http.Response, fields []string) bool {
 	if holdsStatus(head.Status) {
 		return true
 	}
-	for _, values := range head.Header {
+	for name, values := range head.Header {
+		if isInterrupted(name, framingFields) || isInterrupted(name, fields) {
+			return true
+		}
 		for _, value := range values {
 			if holdsStatus(value) {
 				return true
@@ -89,6 +96,24 @@
 	return false
 }
 
+// isInterrupted reports whether name is one of the fields with the first bytes of a version inside
+// it. A slash is not permitted in a name, so that no more than these bytes can be.
+func isInterrupted(name string, fields []string) bool {
+	const protocol = "HTTP"
+	for _, field := range fields {
+		count := len(name) - len(field)
+		if count < 1 || count > len(protocol) {
+			continue
+		}
+		for at := range len(field) + 1 {
+			if strings.EqualFold(name, field[:at]+protocol[:count]+field[at:]) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // holdsStatus reports whether text contains the version and the status of a reply. A version alone
 // is permitted, because the field Via may contain one.
 func holdsStatus(text string) bool {
--- a/io/upstream/overlap_test.go
+++ b/io/upstream/overlap_test.go
@@ -57,3 +57,24 @@
 		})
 	}
 }
+
+// TestInterruptedNames guards against a field whose name is damaged by the first bytes of another
+// reply, so that the field counts as absent, and against sound names that are taken for damaged ones.
+func TestInterruptedNames(t *testing.T) {
+	fields := []string{"Content-Length", "X-H"}
+	for _, field := range fields {
+		for at := range len(field) + 1 {
+			for count := range len("HTTP") {
+				name := field[:at] + "HTTP"[:count+1] + field[at:]
+				if !isInterrupted(strings.ToLower(name), fields) {
+					t.Errorf("%s is taken for a sound name", name)
+				}
+			}
+		}
+	}
+	for _, name := range []string{"Content-Length", "X-H", "X-Content-Length", "Content-Lengths", "X", "X-HTTPS", "Date"} {
+		if isInterrupted(name, fields) {
+			t.Errorf("%s is taken for an interrupted name", name)
+		}
+	}
+}
