Refuse a reply without a length that may hold bytes of a copy

A body that ends with its connection shows no displaced bytes, so callers got it with up to 6 bytes of a copy inside.

A copy begins with an H and can only come on a connection that has carried an earlier request. On such a connection a body without a length that contains an H is refused. For 10 minutes after a reply without a length, connections to its upstream carry one request each, so that its later replies are accepted; this is logged. Connections that end after each reply are not affected.

Weighed: refusing only replies that do not announce the end of the connection. Both kinds are damaged in the same way, and net/http removes the announcement. Accepting both: a wrong answer is worse than one that is refused once in 10 minutes.

--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -103,10 +103,13 @@
 	if pooled.extra != "" {
 		c.recordExtra(pool, pooled.extra)
 	}
+	if pooled.noLength {
+		c.recordNoLength(pool)
+	}
 	if err == nil {
 		err = check(response)
 	}
-	if keep && pooled.remembersAll() && reusable(err) {
+	if keep && pool.mayCarryMore(pooled) && reusable(err) {
 		pooled.lastUsed = c.clock.Now()
 		pool.put(pooled)
 		return response, err
@@ -150,18 +153,24 @@
 		}
 		return Response{}, false, exchangeError(ctx, "write request", err)
 	}
+	if own == nil {
+		own = func(http.Header) bool { return true }
+	}
 	for range maxForeignReplies + 1 {
-		response, end, err := pooled.readReply(ctx, request)
+		response, end, err := pooled.readReply(ctx, request, own)
 		if err != nil {
 			return Response{}, false, err
 		}
-		if own == nil || own(response.Header) {
+		if own(response.Header) {
 			// Bytes after the reply belong to no request, so the connection can't be
 			// reused. The same holds if ctx has ended and set the deadline.
 			open := stop() && !end.closes
 			if pooled.bodyOverlaps(end, response.Body) {
 				return Response{}, false, pooled.overlap()
 			}
+			if end.withConnection && pooled.mayHoldCopy(response.Body) {
+				return Response{}, false, badReply("the body has no length and may hold a part of the reply to another request")
+			}
 			if pooled.reader.Buffered() > 0 {
 				pooled.extra = extraAfterReply
 			}
@@ -180,18 +189,20 @@
 type replyEnd struct {
 	// closes is set if the upstream closes the connection after the reply.
 	closes bool
-	// hasLength and inChunks are set if the reply says where its body ends. If neither is, the
-	// body ends with the connection.
-	hasLength, inChunks bool
+	// inChunks and withConnection are set if the body ends with its last chunk or with the
+	// connection. Otherwise it has a length.
+	inChunks, withConnection bool
 }
 
 // readReply returns the next final reply on the connection.
-func (p *pooledConn) readReply(ctx context.Context, request Request) (Response, replyEnd, error) {
+func (p *pooledConn) readReply(ctx context.Context, request Request, own func(http.Header) bool) (Response, replyEnd, error) {
 	head, err := p.readHead(ctx, request)
 	if err != nil {
 		return Response{}, replyEnd{}, err
 	}
 	defer func() { _ = head.Body.Close() }()
+	end := replyEnd{closes: head.Close, inChunks: len(head.TransferEncoding) > 0, withConnection: endsWithConnection(head, request.Method)}
+	p.noLength = end.withConnection && own(head.Header)
 	var body []byte
 	if request.Method != http.MethodHead {
 		body, err = readBody(head)
@@ -203,7 +214,6 @@
 		return Response{}, replyEnd{}, exchangeError(ctx, "read body", err)
 	}
 	p.setIdleTimeout(head.Header.Get("Keep-Alive"))
-	end := replyEnd{closes: head.Close, hasLength: head.ContentLength >= 0, inChunks: len(head.TransferEncoding) > 0}
 	return Response{Status: head.StatusCode, Header: head.Header, Body: body}, end, nil
 }
 
--- a/io/upstream/lanes.go
+++ b/io/upstream/lanes.go
@@ -49,6 +49,10 @@
 	// sentHead and sentOther are set once a request with the method HEAD, or another one, was
 	// sent.
 	sentHead, sentOther bool
+	// reused is set once a second request was sent.
+	reused bool
+	// noLength is set if the reply to the request ends with the connection.
+	noLength bool
 	// extra says which input arrived that is no reply to the request, or is empty.
 	extra extraInput
 }
@@ -63,6 +67,7 @@
 
 // recordRequest records that a request is sent on this connection.
 func (p *pooledConn) recordRequest(request Request) {
+	p.reused = p.hasCarriedAny()
 	if request.Method == http.MethodHead {
 		p.sentHead = true
 	} else {
@@ -78,6 +83,11 @@
 	return len(p.sent) < maxRequestIDs
 }
 
+// hasCarriedAny reports whether any request was sent on this connection.
+func (p *pooledConn) hasCarriedAny() bool {
+	return p.sentHead || p.sentOther
+}
+
 // hasCarried reports whether a request with this ID was sent on this connection. It may also
 // report true for another request, whose ID has the same hash.
 func (p *pooledConn) hasCarried(id string) bool {
@@ -139,6 +149,8 @@
 	limit  int
 	excess int
 	closed bool
+	// singleUseUntil is when connections may carry several requests again.
+	singleUseUntil core.Millis
 }
 
 func newConnPool(clock core.Clock, dialer *net.Dialer, budget *replyBudget, target core.Target) *connPool {
@@ -221,7 +233,7 @@
 		}
 		p.idle = slices.Delete(p.idle, i, i+1)
 		state := inputOf(pooled.conn)
-		if pooled.usable(now) && state == inputNone {
+		if pooled.usable(now) && state == inputNone && !(pooled.hasCarriedAny() && p.singleUseLocked()) {
 			return pooled
 		}
 		if state == inputPending {
--- a/io/upstream/overlap.go
+++ b/io/upstream/overlap.go
@@ -137,7 +137,7 @@
 	if end.inChunks {
 		return false
 	}
-	if end.hasLength {
+	if !end.withConnection {
 		following := p.following()
 		if len(following) == 0 && indexReply(body) >= 0 {
 			following = p.awaitInput()
--- /dev/null
+++ b/io/upstream/singleuse.go
@@ -0,0 +1,58 @@
+package upstream
+
+import (
+	"bytes"
+	"net/http"
+
+	"acaciavane/core"
+)
+
+// Replies without a length. Such a reply ends with its connection, so bytes of another reply inside
+// its body displace nothing that could be noticed. Only a connection that has carried no other
+// request can't deliver them. An upstream that replies so gets one request for each connection.
+
+// singleUseMillis is how long the connections to an upstream carry one request each after it sent a
+// reply without a length. An upstream that sends both kinds of replies has one refused in that time
+// for each connection that it has open by then, at most.
+const singleUseMillis = 10 * core.Minute
+
+// endsWithConnection reports whether only the end of the connection ends the body.
+func endsWithConnection(head *http.Response, method string) bool {
+	return head.ContentLength < 0 && len(head.TransferEncoding) == 0 && method != http.MethodHead
+}
+
+// beginSingleUse has connections carry one request each for singleUseMillis. It reports whether they
+// carried more before.
+func (p *connPool) beginSingleUse() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	begins := !p.singleUseLocked()
+	p.singleUseUntil = p.clock.Now() + singleUseMillis
+	return begins
+}
+
+// singleUseLocked reports whether connections carry one request each. The caller holds the lock.
+func (p *connPool) singleUseLocked() bool {
+	return p.clock.Now() < p.singleUseUntil
+}
+
+// mayCarryMore reports whether a connection that has carried a request may carry one more.
+func (p *connPool) mayCarryMore(pooled *pooledConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return pooled.remembersAll() && !p.singleUseLocked()
+}
+
+// mayHoldCopy reports whether a body that ends with the connection may hold the first bytes of a
+// reply to an earlier request on it.
+func (p *pooledConn) mayHoldCopy(body []byte) bool {
+	return p.reused && bytes.IndexByte(body, versionPrefix[0]) >= 0
+}
+
+// recordNoLength begins the single use of connections to an upstream and logs it.
+func (c *Client) recordNoLength(pool *connPool) {
+	if pool.beginSingleUse() {
+		c.extra.log.Info("upstream sends replies without a length; one request for each connection", "upstream", pool.target.Name,
+			"service", pool.target.Service, "forMillis", int64(singleUseMillis))
+	}
+}
