Wait for displaced bytes after an upstream has sent extra input

If a write ended exactly where the announced length of an interrupted reply does, the displaced bytes came later, and the body passed for a whole one, unless it held a whole version or ended like one.

For a minute after an upstream has sent extra input, a body that contains HT is held like those, for up to 5 ms, to see whether bytes follow. One random body of 256 bytes in 256 contains it. Replies of other upstreams are not held.

Weighed: one request for each connection to such an upstream. A copy could not reach another reply then, but each reply would cost a connection and 20 ms of it. Holding bodies that contain an H: most do.

--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -99,6 +99,7 @@
 		}
 	}
 	pooled.recordRequest(request)
+	pooled.watched = int64(started) < pool.watchedUntil.Load()
 	response, keep, err := c.roundTrip(ctx, pooled, request, own)
 	if pooled.extra != "" {
 		c.recordExtra(pool, pooled.extra)
--- a/io/upstream/extra.go
+++ b/io/upstream/extra.go
@@ -28,6 +28,9 @@
 // extraLogInterval is the shortest time between two log lines about one upstream.
 const extraLogInterval = 10 * core.Second
 
+// extraWatchMillis is how long the end of a body is watched more closely after an extra input.
+const extraWatchMillis = core.Minute
+
 // extraLog counts and logs the extra input of each upstream.
 type extraLog struct {
 	clock core.Clock
@@ -98,5 +101,6 @@
 // recordExtra counts and logs an extra input.
 func (c *Client) recordExtra(pool *connPool, input extraInput) {
 	c.counters.Add(core.CountExtraInputs, 1)
+	pool.watchedUntil.Store(int64(c.clock.Now() + extraWatchMillis))
 	c.extra.add(pool.target, input)
 }
--- a/io/upstream/lanes.go
+++ b/io/upstream/lanes.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"acaciavane/core"
 )
@@ -53,6 +54,8 @@
 	reused bool
 	// noLength is set if the reply to the request ends with the connection.
 	noLength bool
+	// watched is set if the upstream sent extra input within extraWatchMillis.
+	watched bool
 	// extra says which input arrived that is no reply to the request, or is empty.
 	extra extraInput
 }
@@ -141,6 +144,8 @@
 	// onExtra is called for input that arrived on an idle connection. It may be called while mu
 	// is held.
 	onExtra func(extraInput)
+	// watchedUntil is when the ends of bodies are no longer watched more closely, in core.Millis.
+	watchedUntil atomic.Int64
 
 	mu   sync.Mutex
 	idle []*pooledConn
--- a/io/upstream/overlap.go
+++ b/io/upstream/overlap.go
@@ -21,6 +21,8 @@
 	// minStatusBytes is the length of the shortest part of a status line that is recognised in
 	// a head: the version and a digit of the status.
 	minStatusBytes = len(versionPrefix) + len("1 2")
+	// minWatchedBytes occur in one body of 256 random bytes in 256. A single byte occurs in most.
+	minWatchedBytes = 2
 	// maxHeadLines is how many lines of a possible head are examined.
 	maxHeadLines = 64
 	// overlapWait is how long the rest of an overlapping reply is waited for. The upstream sends
@@ -139,7 +141,7 @@
 	}
 	if !end.withConnection {
 		following := p.following()
-		if len(following) == 0 && indexReply(body) >= 0 {
+		if len(following) == 0 && p.expectsRest(body) {
 			following = p.awaitInput()
 		}
 		return isDisplaced(body, following)
@@ -153,6 +155,13 @@
 	return false
 }
 
+// expectsRest reports whether displaced bytes are waited for although none have arrived: if the body
+// ends like the beginning of a status line or contains one, and, if the upstream has recently sent
+// extra input, also if it contains the first minWatchedBytes of one.
+func (p *pooledConn) expectsRest(body []byte) bool {
+	return indexReply(body) >= 0 || p.watched && bytes.Contains(body, []byte(versionPrefix[:minWatchedBytes]))
+}
+
 // isDisplaced reports whether the bytes that follow a body may be its own last bytes, displaced by
 // the beginning of another reply. The beginning is as long as the bytes that it displaces, of which
 // some may not have arrived, so the body contains at least as many bytes of a status line as follow.
