--- a/io/upstream/overlap.go
+++ b/io/upstream/overlap.go
@@ -104,7 +104,7 @@
 	const protocol = "HTTP"
 	for _, field := range fields {
 		count := len(name) - len(field)
-		if count < 1 || count > len(protocol) {
+		if count < 1 || count > len(protocol) || commonEnds(name, field) < len(field) {
 			continue
 		}
 		for at := range len(field) + 1 {
@@ -116,6 +116,20 @@
 	return false
 }
 
+// commonEnds returns how many bytes two names have in common at their beginnings and their ends.
+func commonEnds(a, b string) int {
+	const lowerCase = 0x20
+	shorter := min(len(a), len(b))
+	prefix, suffix := 0, 0
+	for prefix < shorter && a[prefix]|lowerCase == b[prefix]|lowerCase {
+		prefix++
+	}
+	for suffix < shorter && a[len(a)-1-suffix]|lowerCase == b[len(b)-1-suffix]|lowerCase {
+		suffix++
+	}
+	return prefix + suffix
+}
+
 // holdsStatus reports whether text contains the version and the status of a reply. A version alone
 // is permitted, because the field Via may contain one.
 func holdsStatus(text string) bool {
