--- a/standin/faults/list.go
+++ b/standin/faults/list.go
@@ -28,7 +28,7 @@
 	},
 	{
 		name: "copyInsideHeadTaken", file: "io/upstream/exchange.go",
-		old: "if headOverlaps(head) {", new: "if false {",
+		old: "if headOverlaps(head, request.ReplyFields) {", new: "if false {",
 		pkg: "./platform", test: "TestReplies",
 	},
 	{
@@ -36,6 +36,31 @@
 		old: "if pooled.bodyOverlaps(end, response.Body) {", new: "if false {",
 		pkg: "./platform", test: "TestReplies",
 	},
+	{
+		name: "displacedBytesIgnored", file: "io/upstream/overlap.go",
+		old: "return isDisplaced(body, following)", new: "return false",
+		pkg: "./platform", test: "TestInsertedPrefixes",
+	},
+	{
+		name: "interruptedNameTaken", file: "io/upstream/overlap.go",
+		old: "if isInterrupted(name, framingFields) || isInterrupted(name, fields) {", new: "if name == \"\" {",
+		pkg: "./platform", test: "TestReplies",
+	},
+	{
+		name: "copyWithoutLengthTaken", file: "io/upstream/singleuse.go",
+		old: "return p.reused && bytes.IndexByte(body, versionPrefix[0]) >= 0", new: "return p.reused && bytes.IndexByte(nil, versionPrefix[0]) >= 0",
+		pkg: "./platform", test: "TestInsertedPrefixes",
+	},
+	{
+		name: "damagedSignatureTaken", file: "platform/upstream.go",
+		old: "strings.ContainsFunc(header.Get(headerSignature), unicode.IsUpper)", new: "strings.ContainsFunc(\"\", unicode.IsUpper)",
+		pkg: "./platform", test: "TestInsertedPrefixes",
+	},
+	{
+		name: "connectionsUsedAgainWithoutLength", file: "io/upstream/singleuse.go",
+		old: "return p.clock.Now() < p.singleUseUntil", new: "return p.singleUseUntil < 0",
+		pkg: "./platform", test: "TestRepliesWithoutLength",
+	},
 	{
 		name: "healthChecksShareConnection", file: "platform/upstream.go",
 		old: "ID: \"health check\", ", new: "",
@@ -164,7 +189,7 @@
 	},
 	{
 		name: "connectionUsedAfterMismatch", file: "io/upstream/exchange.go",
-		old: "	if keep && pooled.remembersAll() && reusable(err) {", new: "	if keep {",
+		old: "	if keep && pool.mayCarryMore(pooled) && reusable(err) {", new: "	if keep {",
 		pkg: "./io/upstream", test: "TestRepliesOfAnUpstream",
 	},
 	{
@@ -264,7 +289,7 @@
 	},
 	{
 		name: "foreignReplyTaken", file: "io/upstream/exchange.go",
-		old: "if own == nil || own(response.Header) {", new: "if true {",
+		old: "if own(response.Header) {", new: "if true {",
 		pkg: "./platform", test: "TestReplies",
 	},
 	{
