--- a/cli/instance.go
+++ b/cli/instance.go
@@ -482,6 +482,7 @@
 		Peers:            i.peers.State(),
 		Upstreams:        i.fleet.State(),
 		ExtraInputs:      i.upstreams.ExtraInputs(),
+		SingleUses:       i.upstreams.SingleUses(),
 		Verdicts:         i.quarantine.State(),
 		RememberedOrders: i.orders.RunCount(),
 		ExtraLoadTokens:  i.budget.Tokens(),
--- a/io/operator/state.go
+++ b/io/operator/state.go
@@ -25,7 +25,9 @@
 	Peers          []core.PeerStatus
 	Upstreams      []core.ReplicaState
 	// ExtraInputs is how often each upstream sent input that belongs to no request.
-	ExtraInputs      map[string]int64
+	ExtraInputs map[string]int64
+	// SingleUses is for how long the connections to an upstream carry one request each.
+	SingleUses       map[string]core.Millis
 	Verdicts         []core.VerdictState
 	RememberedOrders int
 	// ExtraLoadTokens is the number of extra attempts that may be sent now.
@@ -140,6 +142,9 @@
 	// ExtraInputs is how often the upstream sent input that belongs to no request, such as the
 	// second copy of a reply.
 	ExtraInputs int64 `json:"extraInputs"`
+	// SingleUseForMillis is how long connections carry one request each, after a reply without a
+	// length, or 0.
+	SingleUseForMillis int64 `json:"singleUseForMillis"`
 }
 
 // EstimateBody is the capacity estimate of an upstream.
@@ -239,6 +244,7 @@
 	for _, upstream := range state.Upstreams {
 		upstreamBody := toUpstreamBody(upstream, state.Now)
 		upstreamBody.ExtraInputs = state.ExtraInputs[upstream.Name]
+		upstreamBody.SingleUseForMillis = int64(state.SingleUses[upstream.Name])
 		body.Upstreams = append(body.Upstreams, upstreamBody)
 	}
 	for _, verdict := range state.Verdicts {
--- a/io/upstream/lanes.go
+++ b/io/upstream/lanes.go
@@ -238,7 +238,7 @@
 		}
 		p.idle = slices.Delete(p.idle, i, i+1)
 		state := inputOf(pooled.conn)
-		if pooled.usable(now) && state == inputNone && !(pooled.hasCarriedAny() && p.singleUseLocked()) {
+		if pooled.usable(now) && state == inputNone && p.mayCarryLocked(pooled) {
 			return pooled
 		}
 		if state == inputPending {
--- a/io/upstream/singleuse.go
+++ b/io/upstream/singleuse.go
@@ -36,6 +36,11 @@
 	return p.clock.Now() < p.singleUseUntil
 }
 
+// mayCarryLocked reports whether an idle connection may carry a request. The caller holds the lock.
+func (p *connPool) mayCarryLocked(pooled *pooledConn) bool {
+	return !pooled.hasCarriedAny() || !p.singleUseLocked()
+}
+
 // mayCarryMore reports whether a connection that has carried a request may carry one more.
 func (p *connPool) mayCarryMore(pooled *pooledConn) bool {
 	p.mu.Lock()
@@ -49,6 +54,27 @@
 	return p.reused && bytes.IndexByte(body, versionPrefix[0]) >= 0
 }
 
+// singleUseFor returns for how long connections carry one request each from now on.
+func (p *connPool) singleUseFor() core.Millis {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(0, p.singleUseUntil-p.clock.Now())
+}
+
+// SingleUses returns for how long the connections to each upstream carry one request each. Upstreams
+// whose connections carry several are left out.
+func (c *Client) SingleUses() map[string]core.Millis {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	uses := map[string]core.Millis{}
+	for name, pool := range c.pools {
+		if remaining := pool.singleUseFor(); remaining > 0 {
+			uses[name] = remaining
+		}
+	}
+	return uses
+}
+
 // recordNoLength begins the single use of connections to an upstream and logs it.
 func (c *Client) recordNoLength(pool *connPool) {
 	if pool.beginSingleUse() {
