Accept replies that a line break follows on a connection of their own

Bytes after a reply end its connection, so such an upstream gets one request for each connection, and no copy can precede the only reply. TestInsertedPrefixes is as before: 0 wrong.

--- a/io/upstream/overlap.go
+++ b/io/upstream/overlap.go
@@ -23,6 +23,9 @@
 	minStatusBytes = len(versionPrefix) + len("1 2")
 	// minWatchedBytes occur in one body of 256 random bytes in 256. A single byte occurs in most.
 	minWatchedBytes = 2
+	// maxStrayBytes is the length of a line break. Some upstreams send one after each reply, so that
+	// each connection carries one request. No copy of another reply precedes that one.
+	maxStrayBytes = 2
 	// maxHeadLines is how many lines of a possible head are examined.
 	maxHeadLines = 64
 	// overlapWait is how long the rest of an overlapping reply is waited for. The upstream sends
@@ -158,6 +161,9 @@
 		if len(following) == 0 && p.expectsRest(body) {
 			following = p.awaitInput()
 		}
+		if !p.reused && len(following) <= maxStrayBytes && indexReply(body) < 0 {
+			return false
+		}
 		return isDisplaced(body, following)
 	}
 	for at := indexReply(body); at >= 0; at = indexReply(body) {
