--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -41,6 +41,9 @@
 	// SignatureField is the name of the header field with the signature of a reply, for errors and
 	// logs. It is empty if replies have none.
 	SignatureField string
+	// ReplyFields are the header fields whose absence from the reply would change how it is judged. A
+	// reply is refused if another one begins inside the name of such a field.
+	ReplyFields []string
 	// Confirm, if not nil, is called right before the request is sent. The request is not sent
 	// if it returns an error.
 	Confirm func(ctx context.Context) error
@@ -102,11 +105,15 @@
 		}
 	}
 	pooled.recordRequest(request)
+	pooled.watched = int64(started) < pool.watchedUntil.Load()
 	response, keep, err := c.roundTrip(ctx, pooled, request, own)
 	if pooled.extra != "" {
 		c.recordExtra(pool, pooled.extra, pooled.extraSignature)
 		response.ExtraInput = true
 	}
+	if pooled.noLength {
+		c.recordNoLength(pool)
+	}
 	if err == nil {
 		err = check(response)
 	}
@@ -114,7 +121,7 @@
 		pooled.describeRejected(err, request.SignatureField)
 	}
 	pooled.lastHead = nil
-	if keep && pooled.remembersAll() && reusable(err) {
+	if keep && pool.mayCarryMore(pooled) && reusable(err) {
 		pooled.lastUsed = c.clock.Now()
 		pool.put(pooled)
 		return response, err
@@ -158,18 +165,24 @@
 		}
 		return Response{}, false, exchangeError(ctx, "write request", err)
 	}
+	if own == nil {
+		own = func(http.Header) bool { return true }
+	}
 	for range maxForeignReplies + 1 {
-		response, end, err := pooled.readReply(ctx, request.Method)
+		response, end, err := pooled.readReply(ctx, request, own)
 		if err != nil {
 			return Response{}, false, err
 		}
-		if own == nil || own(response.Header) {
+		if own(response.Header) {
 			// Bytes after the reply belong to no request, so the connection can't be
 			// reused. The same holds if ctx has ended and set the deadline.
 			open := stop() && !end.closes
 			if pooled.bodyOverlaps(end, response.Body) {
 				return Response{}, false, pooled.overlap()
 			}
+			if end.withConnection && pooled.mayHoldCopy(response.Body) {
+				return Response{}, false, badReply("the body has no length and may hold a part of the reply to another request")
+			}
 			if pooled.reader.Buffered() > 0 {
 				pooled.extra = extraAfterReply
 			}
@@ -209,20 +222,22 @@
 type replyEnd struct {
 	// closes is set if the upstream closes the connection after the reply.
 	closes bool
-	// hasLength and inChunks are set if the reply says where its body ends. If neither is, the
-	// body ends with the connection.
-	hasLength, inChunks bool
+	// inChunks and withConnection are set if the body ends with its last chunk or with the
+	// connection. Otherwise it has a length.
+	inChunks, withConnection bool
 }
 
 // readReply returns the next final reply on the connection.
-func (p *pooledConn) readReply(ctx context.Context, method string) (Response, replyEnd, error) {
-	head, err := p.readHead(ctx, method)
+func (p *pooledConn) readReply(ctx context.Context, request Request, own func(http.Header) bool) (Response, replyEnd, error) {
+	head, err := p.readHead(ctx, request)
 	if err != nil {
 		return Response{}, replyEnd{}, err
 	}
 	defer func() { _ = head.Body.Close() }()
+	end := replyEnd{closes: head.Close, inChunks: len(head.TransferEncoding) > 0, withConnection: endsWithConnection(head, request.Method)}
+	p.noLength = end.withConnection && own(head.Header)
 	var body []byte
-	if method != http.MethodHead {
+	if request.Method != http.MethodHead {
 		body, err = readBody(head)
 	}
 	if errors.Is(err, errReplyTooLarge) {
@@ -235,20 +250,19 @@
 		return Response{}, replyEnd{}, exchangeError(ctx, "read body", err)
 	}
 	p.setIdleTimeout(head.Header.Get("Keep-Alive"))
-	end := replyEnd{closes: head.Close, hasLength: head.ContentLength >= 0, inChunks: len(head.TransferEncoding) > 0}
 	return Response{Status: head.StatusCode, Header: head.Header, Body: body}, end, nil
 }
 
 // readHead returns the head of the next final reply and skips interim replies.
-func (p *pooledConn) readHead(ctx context.Context, method string) (*http.Response, error) {
+func (p *pooledConn) readHead(ctx context.Context, request Request) (*http.Response, error) {
 	p.input.beginHead()
 	defer p.input.endHead()
 	for range maxInterimReplies + 1 {
-		head, err := http.ReadResponse(p.reader, &http.Request{Method: method})
+		head, err := http.ReadResponse(p.reader, &http.Request{Method: request.Method})
 		if err != nil {
 			return nil, exchangeError(ctx, "read reply", err)
 		}
-		if headOverlaps(head) {
+		if headOverlaps(head, request.ReplyFields) {
 			p.lastHead = head
 			return nil, p.overlap()
 		}
--- a/io/upstream/lanes.go
+++ b/io/upstream/lanes.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"acaciavane/core"
 )
@@ -49,6 +50,12 @@
 	// sentHead and sentOther are set once a request with the method HEAD, or another one, was
 	// sent.
 	sentHead, sentOther bool
+	// reused is set once a second request was sent.
+	reused bool
+	// noLength is set if the reply to the request ends with the connection.
+	noLength bool
+	// watched is set if the upstream sent extra input within extraWatchMillis.
+	watched bool
 	// extra says which input arrived that is no reply to the request, or is empty. extraSignature is
 	// the signature of a reply to another request.
 	extra          extraInput
@@ -67,6 +74,7 @@
 
 // recordRequest records that a request is sent on this connection.
 func (p *pooledConn) recordRequest(request Request) {
+	p.reused = p.hasCarriedAny()
 	if request.Method == http.MethodHead {
 		p.sentHead = true
 	} else {
@@ -82,6 +90,11 @@
 	return len(p.sent) < maxRequestIDs
 }
 
+// hasCarriedAny reports whether any request was sent on this connection.
+func (p *pooledConn) hasCarriedAny() bool {
+	return p.sentHead || p.sentOther
+}
+
 // hasCarried reports whether a request with this ID was sent on this connection. It may also
 // report true for another request, whose ID has the same hash.
 func (p *pooledConn) hasCarried(id string) bool {
@@ -135,6 +148,8 @@
 	// onExtra is called for input that arrived on an idle connection. It may be called while mu
 	// is held.
 	onExtra func(extraInput)
+	// watchedUntil is when the ends of bodies are no longer watched more closely, in core.Millis.
+	watchedUntil atomic.Int64
 
 	mu   sync.Mutex
 	idle []*pooledConn
@@ -143,6 +158,8 @@
 	limit  int
 	excess int
 	closed bool
+	// singleUseUntil is when connections may carry several requests again.
+	singleUseUntil core.Millis
 }
 
 func newConnPool(clock core.Clock, dialer *net.Dialer, budget *replyBudget, target core.Target) *connPool {
@@ -225,7 +242,7 @@
 		}
 		p.idle = slices.Delete(p.idle, i, i+1)
 		state := inputOf(pooled.conn)
-		if pooled.usable(now) && state == inputNone {
+		if pooled.usable(now) && state == inputNone && p.mayCarryLocked(pooled) {
 			return pooled
 		}
 		if state == inputPending {
--- a/io/upstream/overlap.go
+++ b/io/upstream/overlap.go
@@ -16,9 +16,16 @@
 
 const (
 	versionPrefix = "HTTP/1."
+	// statusPattern is the beginning of a status line. v is a minor version and d a digit.
+	statusPattern = versionPrefix + "v ddd"
 	// minStatusBytes is the length of the shortest part of a status line that is recognised in
 	// a head: the version and a digit of the status.
 	minStatusBytes = len(versionPrefix) + len("1 2")
+	// minWatchedBytes occur in one body of 256 random bytes in 256. A single byte occurs in most.
+	minWatchedBytes = 2
+	// maxStrayBytes is the length of a line break. Some upstreams send one after each reply, so that
+	// each connection carries one request. No copy of another reply precedes that one.
+	maxStrayBytes = 2
 	// maxHeadLines is how many lines of a possible head are examined.
 	maxHeadLines = 64
 	// overlapWait is how long the rest of an overlapping reply is waited for. The upstream sends
@@ -32,10 +39,9 @@
 // beginsReply reports whether data begins with the status line of a reply, or with the part of
 // one that fits into data.
 func beginsReply[T string | []byte](data T) bool {
-	const pattern = versionPrefix + "v ddd"
-	for i := range min(len(data), len(pattern)) {
+	for i := range min(len(data), len(statusPattern)) {
 		char := data[i]
-		switch pattern[i] {
+		switch statusPattern[i] {
 		case 'v':
 			if char != '0' && char != '1' {
 				return false
@@ -45,7 +51,7 @@
 				return false
 			}
 		default:
-			if char != pattern[i] {
+			if char != statusPattern[i] {
 				return false
 			}
 		}
@@ -73,12 +79,19 @@
 	return -1
 }
 
-// headOverlaps reports whether another reply begins inside the head.
-func headOverlaps(head *http.Response) bool {
+// framingFields are the header fields that decide where a reply ends.
+var framingFields = []string{"Content-Length", "Transfer-Encoding"}
+
+// headOverlaps reports whether another reply begins inside the head. Less than minStatusBytes of it
+// are recognised in the names of framingFields and of the given fields only.
+func headOverlaps(head *http.Response, fields []string) bool {
 	if holdsStatus(head.Status) {
 		return true
 	}
-	for _, values := range head.Header {
+	for name, values := range head.Header {
+		if isInterrupted(name, framingFields) || isInterrupted(name, fields) {
+			return true
+		}
 		for _, value := range values {
 			if holdsStatus(value) {
 				return true
@@ -88,6 +101,38 @@
 	return false
 }
 
+// isInterrupted reports whether name is one of the fields with the first bytes of a version inside
+// it. A slash is not permitted in a name, so that no more than these bytes can be.
+func isInterrupted(name string, fields []string) bool {
+	const protocol = "HTTP"
+	for _, field := range fields {
+		count := len(name) - len(field)
+		if count < 1 || count > len(protocol) || commonEnds(name, field) < len(field) {
+			continue
+		}
+		for at := range len(field) + 1 {
+			if strings.EqualFold(name, field[:at]+protocol[:count]+field[at:]) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// commonEnds returns how many bytes two names have in common at their beginnings and their ends.
+func commonEnds(a, b string) int {
+	const lowerCase = 0x20
+	shorter := min(len(a), len(b))
+	prefix, suffix := 0, 0
+	for prefix < shorter && a[prefix]|lowerCase == b[prefix]|lowerCase {
+		prefix++
+	}
+	for suffix < shorter && a[len(a)-1-suffix]|lowerCase == b[len(b)-1-suffix]|lowerCase {
+		suffix++
+	}
+	return prefix + suffix
+}
+
 // holdsStatus reports whether text contains the version and the status of a reply. A version alone
 // is permitted, because the field Via may contain one.
 func holdsStatus(text string) bool {
@@ -111,8 +156,15 @@
 	if end.inChunks {
 		return false
 	}
-	if end.hasLength {
-		return indexReply(body) >= 0 && p.hasInput()
+	if !end.withConnection {
+		following := p.following()
+		if len(following) == 0 && p.expectsRest(body) {
+			following = p.awaitInput()
+		}
+		if !p.reused && len(following) <= maxStrayBytes && indexReply(body) < 0 {
+			return false
+		}
+		return isDisplaced(body, following)
 	}
 	for at := indexReply(body); at >= 0; at = indexReply(body) {
 		if holdsHead(body[at:]) {
@@ -123,6 +175,39 @@
 	return false
 }
 
+// expectsRest reports whether displaced bytes are waited for although none have arrived: if the body
+// ends like the beginning of a status line or contains one, and, if the upstream has recently sent
+// extra input, also if it contains the first minWatchedBytes of one.
+func (p *pooledConn) expectsRest(body []byte) bool {
+	return indexReply(body) >= 0 || p.watched && bytes.Contains(body, []byte(versionPrefix[:minWatchedBytes]))
+}
+
+// isDisplaced reports whether the bytes that follow a body may be its own last bytes, displaced by
+// the beginning of another reply. The beginning is as long as the bytes that it displaces, of which
+// some may not have arrived, so the body contains at least as many bytes of a status line as follow.
+// The body may end inside that beginning; the rest of it follows then.
+func isDisplaced(body, following []byte) bool {
+	count := min(len(following), len(statusPattern))
+	if count == 0 {
+		return false
+	}
+	window := make([]byte, 0, len(statusPattern))
+	for at := 0; at < len(body); at++ {
+		next := bytes.IndexByte(body[at:], versionPrefix[0])
+		if next < 0 {
+			return false
+		}
+		at += next
+		inside := min(count, len(body)-at)
+		window = append(window[:0], body[at:at+inside]...)
+		window = append(window, following[:count-inside]...)
+		if beginsReply(window) {
+			return true
+		}
+	}
+	return false
+}
+
 // holdsHead reports whether data, which begins like a status line, continues like a head as far as
 // it goes, or for maxHeadLines. Less than a version is not enough.
 func holdsHead(data []byte) bool {
@@ -146,16 +231,27 @@
 	return true
 }
 
-// hasInput reports whether bytes follow within overlapWait. It is called after the deadline of the
-// request no longer applies to the connection.
-func (p *pooledConn) hasInput() bool {
-	if p.reader.Buffered() > 0 {
-		return true
+// following returns the first bytes that have arrived after the reply, as many as a status line
+// takes at most. It does not wait. Like awaitInput it is called after the deadline of the request no
+// longer applies to the connection.
+func (p *pooledConn) following() []byte {
+	if p.reader.Buffered() == 0 && p.input.filled {
+		_ = p.conn.SetReadDeadline(time.Time{})
+		if inputOf(p.conn) == inputPending {
+			_, _ = p.reader.Peek(1)
+		}
 	}
+	following, _ := p.reader.Peek(min(p.reader.Buffered(), len(statusPattern)))
+	return following
+}
+
+// awaitInput waits for bytes after the reply, for overlapWait at most, and returns them like
+// following.
+func (p *pooledConn) awaitInput() []byte {
 	_ = p.conn.SetReadDeadline(time.Now().Add(overlapWait))
-	_, err := p.reader.Peek(1)
+	_, _ = p.reader.Peek(1)
 	_ = p.conn.SetReadDeadline(time.Time{})
-	return err == nil
+	return p.following()
 }
 
 // overlap records that another reply begins inside the reply, and returns the error for it.
