Use connections once for 10 s, not 10 minutes, after a reply without a length

Each request to an upstream that sent one reply without a length cost a new connection for ten minutes after it, though such replies may stop after seconds.

--- a/io/upstream/singleuse.go
+++ b/io/upstream/singleuse.go
@@ -14,7 +14,7 @@
 // singleUseMillis is how long the connections to an upstream carry one request each after it sent a
 // reply without a length. An upstream that sends both kinds of replies has one refused in that time
 // for each connection that it has open by then, at most.
-const singleUseMillis = 10 * core.Minute
+const singleUseMillis = 10 * core.Second
 
 // endsWithConnection reports whether only the end of the connection ends the body.
 func endsWithConnection(head *http.Response, method string) bool {
