--- a/proof/fleet_test.go
+++ b/proof/fleet_test.go
@@ -288,7 +288,7 @@
 }
 
 // TestConnectionsStayWithinTheLimit stops, kills and replaces instances under load. The number
-// of connections that are open at an upstream at the same time must not exceed the limit.
+// of connections to an upstream that instances hold open at the same time must not exceed the limit.
 func TestConnectionsStayWithinTheLimit(t *testing.T) {
 	deployment := twoInstancesPerZone()
 	deployment.Groups[0].Connections = 6
--- a/standin/lab/cluster.go
+++ b/standin/lab/cluster.go
@@ -538,8 +538,8 @@
 	return nil
 }
 
-// PeakConnections returns the highest number of connections that were open at an upstream
-// at the same time.
+// PeakConnections returns the highest number of connections to an upstream that callers held
+// open at the same time.
 func (c *Cluster) PeakConnections(name string) (int, error) {
 	raw, err := c.get(c.upstreams[name].control + "/control/connections/" + name)
 	if err != nil {
