Stand-in: a connection that the stand-in has closed isn't open

Callers saw nothing. The state of a connection can't be read after the stand-in has closed it, so that the connection counted until http.StateClosed, which follows a little later.

A connection that this process has closed (net.ErrClosed) no longer counts. The new case of TestPeakOfConnectionsThatCallersHold fails without the change ("Expected: 1, Actual: 2").

--- a/standin/connections.go
+++ b/standin/connections.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -44,20 +45,21 @@
 	return len(c.open), c.peak
 }
 
-// heldLocked returns how many connections their callers have not closed. The caller holds the lock.
+// heldLocked returns how many connections have not ended. The caller holds the lock.
 func (c *connectionCounter) heldLocked() int {
 	held := 0
 	for conn := range c.open {
-		if !closedByCaller(conn) {
+		if !hasEnded(conn) {
 			held++
 		}
 	}
 	return held
 }
 
-// closedByCaller reports whether the end of a connection, or a reset, has arrived. Input that arrived
-// before it may still be unread. It returns false if the state is unknown.
-func closedByCaller(conn net.Conn) bool {
+// hasEnded reports whether the end of a connection, or a reset, has arrived, or this process has closed
+// it: http.StateClosed follows a little later. Input that arrived before the end may still be unread.
+// It returns false if the state is unknown.
+func hasEnded(conn net.Conn) bool {
 	if delayed, ok := conn.(*delayedConn); ok {
 		conn = delayed.Conn
 	}
@@ -70,9 +72,9 @@
 		return false
 	}
 	closed := false
-	_ = raw.Control(func(descriptor uintptr) {
+	err = raw.Control(func(descriptor uintptr) {
 		info, err := unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
 		closed = err == nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
 	})
-	return closed
+	return closed || errors.Is(err, net.ErrClosed)
 }
--- a/standin/connections_test.go
+++ b/standin/connections_test.go
@@ -46,7 +46,7 @@
 				test.end(first.(*net.TCPConn))
 				So(first.Close(), ShouldBeNil)
 				So(lab.Eventually(time.Second, func() error {
-					if !closedByCaller(accepted) {
+					if !hasEnded(accepted) {
 						return errors.New("the end of the connection has not arrived")
 					}
 					return nil
@@ -59,6 +59,14 @@
 				So(peak, ShouldEqual, 1)
 			})
 		}
+		Convey("a connection that this side has closed before the next one was opened is not counted", func() {
+			So(accepted.Close(), ShouldBeNil)
+			second, accepted := acceptPair(listener)
+			defer func() { _, _ = second.Close(), accepted.Close() }()
+			counter.observe(accepted, http.StateNew)
+			_, peak := counter.counts()
+			So(peak, ShouldEqual, 1)
+		})
 		Convey("a connection that is closed after the next one was accepted is counted", func() {
 			second, accepted := acceptPair(listener)
 			defer func() { _, _ = second.Close(), accepted.Close() }()
