Upstream: a probe opens no connections that requests have opened meanwhile

It was found by reading after TestConnectionsStayWithinTheLimit had failed, for another reason.

Cause: a probe counted the missing connections once and then opened that many, one after the other. A request that opened one meanwhile and returned it to the pool left its token to the probe. The instance then held more connections than its share, and the upstream may reset those beyond its limit.

The fault preconnectIgnoresRequests, which restores the former behaviour, is detected.

Why it works: before each connection the probe checks, under the lock of the pool, whether fewer than its number are open, and takes the token under the same lock. It still opens at most its number in one probe.

--- a/io/upstream/lanes.go
+++ b/io/upstream/lanes.go
@@ -296,10 +296,8 @@
 // preconnect opens connections until count are idle or in use. It stops early if no
 // more may be in use or if dialing fails.
 func (p *connPool) preconnect(ctx context.Context, count int) {
-	for range count - p.open() {
-		select {
-		case <-p.tokens:
-		default:
+	for range count {
+		if !p.takeMissing(count) {
 			return
 		}
 		pooled, err := p.dial(ctx)
@@ -311,6 +309,22 @@
 	}
 }
 
+// takeMissing takes a token for a new connection if fewer than count are idle or in use, and
+// reports whether it did. Requests may have opened connections since the last call.
+func (p *connPool) takeMissing(count int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.openLocked() >= count {
+		return false
+	}
+	select {
+	case <-p.tokens:
+		return true
+	default:
+		return false
+	}
+}
+
 // open returns how many connections are idle or in use.
 func (p *connPool) open() int {
 	p.mu.Lock()
--- a/io/upstream/lanes_test.go
+++ b/io/upstream/lanes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -51,3 +52,31 @@
 		So(len(pool.tokens), ShouldEqual, 1)
 	})
 }
+
+// TestPreconnectWhileRequestsConnect guards against more open connections than the target allows when a
+// request opens a connection while a probe opens the missing ones.
+func TestPreconnectWhileRequestsConnect(t *testing.T) {
+	Convey("A connection that a request opens meanwhile is not opened again", t, func() {
+		server := newUpstreamServer(nil)
+		defer server.Close()
+		const limit = 2
+		ctx := context.Background()
+		dialer := &net.Dialer{}
+		pool := newConnPool(core.NewClock(), dialer, &replyBudget{}, server.target(limit))
+		defer pool.close()
+		dials := 0
+		dialer.Control = func(string, string, syscall.RawConn) error {
+			if dials++; dials > 1 {
+				return nil
+			}
+			pooled, err := pool.acquire(ctx, "")
+			if err == nil {
+				pool.put(pooled)
+			}
+			return err
+		}
+		pool.preconnect(ctx, limit)
+		So(dials, ShouldEqual, limit)
+		So(pool.open(), ShouldEqual, limit)
+	})
+}
--- a/standin/faults/list.go
+++ b/standin/faults/list.go
@@ -26,6 +26,11 @@
 		old: "if pooled.hasCarried(id) {", new: "if false {",
 		pkg: "./platform", test: "TestLateCopyOfRejection",
 	},
+	{
+		name: "preconnectIgnoresRequests", file: "io/upstream/lanes.go",
+		old: "if p.openLocked() >= count {", new: "if false {",
+		pkg: "./io/upstream", test: "TestPreconnectWhileRequestsConnect",
+	},
 	{
 		name: "copyInsideHeadTaken", file: "io/upstream/exchange.go",
 		old: "if headOverlaps(head) {", new: "if false {",
