Refuse a body in chunks with a whole copy inside; accept the address of a gateway in Via

A copy of a whole reply inside a chunk went on as chunks of the body if the chunk ended right before the blank line of the copy's head, and callers got both bodies as one. The displaced bytes follow such a body. A body in chunks that holds a version and a whole status is now refused if bytes follow it.

The field Via of a sound reply names a protocol and a gateway: "HTTP/1.1 192.168.0.1:8080" was taken for the beginning of a status line, so that every reply through that gateway was refused. In Via, only a whole status counts; what else may stand there decides nothing.

--- a/io/upstream/overlap.go
+++ b/io/upstream/overlap.go
@@ -93,7 +93,7 @@
 			return true
 		}
 		for _, value := range values {
-			if holdsStatus(value) {
+			if holdsStatus(value) && (name != "Via" || !namesGateway(value)) {
 				return true
 			}
 		}
@@ -133,8 +133,8 @@
 	return prefix + suffix
 }
 
-// holdsStatus reports whether text contains the version and the status of a reply. A version alone
-// is permitted, because the field Via may contain one.
+// holdsStatus reports whether text contains the version and the beginning of the status of a reply. A
+// version alone is permitted, because header fields may contain one.
 func holdsStatus(text string) bool {
 	for {
 		at := strings.Index(text, versionPrefix)
@@ -149,12 +149,33 @@
 	}
 }
 
+// namesGateway reports whether a value of the field Via names gateways by their addresses, after the
+// version of the protocol, and contains no whole status.
+func namesGateway(value string) bool {
+	for at := strings.Index(value, versionPrefix); at >= 0; at = strings.Index(value, versionPrefix) {
+		value = value[at:]
+		if beginsStatusLine(value) {
+			return false
+		}
+		value = value[len(versionPrefix):]
+	}
+	return true
+}
+
+// beginsStatusLine reports whether data begins with a version and a whole status.
+func beginsStatusLine[T string | []byte](data T) bool {
+	const end = len(statusPattern)
+	return len(data) >= end && beginsReply(data) && (len(data) == end || data[end] == ' ' || data[end] == '\r')
+}
+
 // bodyOverlaps reports whether another reply begins inside the body of a reply. The bytes that this
-// displaces follow a body with a length, and break the encoding of a body in chunks. A body that
-// ends with its connection has neither, so it may not contain a head.
+// displaces follow a body with a length. They break the encoding of a body in chunks, or follow it if a
+// line of a whole copy ends where a chunk does. A body that ends with its connection shows neither, so
+// it may not contain a head.
 func (p *pooledConn) bodyOverlaps(end replyEnd, body []byte) bool {
 	if end.inChunks {
-		return false
+		at := indexReply(body)
+		return at >= 0 && beginsStatusLine(body[at:]) && len(p.awaitInput()) > 0
 	}
 	if !end.withConnection {
 		following := p.following()
