--- a/standin/hostile/endless.go
+++ b/standin/hostile/endless.go
@@ -26,7 +26,8 @@
 // EndlessReplies returns replies of HTTP/1.1 that never end, by the part that they repeat.
 func EndlessReplies() map[string]EndlessReply {
 	const (
-		ok      = "HTTP/1.1 200 OK\r\n"
+		// Without a revision, the client of the configuration service reads no body.
+		ok      = "HTTP/1.1 200 OK\r\nPlatform-Revision: 7\r\n"
 		chunked = ok + "Transfer-Encoding: chunked\r\n\r\n"
 	)
 	return map[string]EndlessReply{
