Configuration service: accept no compressed replies

A faulty service could keep an instance reading for as long as a read may take, by a compressed reply that expands to nothing: the client's limit counts what a body expands to. Values are small, and the service need not compress them, so the client no longer asks for it.

--- a/io/configservice/client.go
+++ b/io/configservice/client.go
@@ -40,6 +40,7 @@
 		DialContext:         dialer.DialContext,
 		MaxIdleConnsPerHost: 2,
 		IdleConnTimeout:     30 * time.Second,
+		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: core.MaxReplyHeadBytes,
 	}}}
