Test: calls and replies of peers without end

What one peer sends without end to another was not tested. A raw HTTP/2 peer now plays ten faults, as the instance that calls and as the one that is called: messages that are not completed, too large, compressed, slow or many, one header block and many, settings, unknown frames, no frames.

--- /dev/null
+++ b/io/peer/endless_test.go
@@ -0,0 +1,134 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"acaciavane/core"
+	"acaciavane/standin/hostile"
+)
+
+const (
+	// maxPeerHeap bounds the heap of a test: four of the largest messages in each direction, twice as
+	// much garbage, and the test itself.
+	maxPeerHeap = 16 * MaxMessageBytes
+	// faultyStreams is how many streams a faulty peer uses at once. Their largest messages exceed
+	// maxPeerHeap.
+	faultyStreams = 64
+	// faultDuration is how long a faulty peer may send.
+	faultDuration = 1500 * time.Millisecond
+)
+
+// checkHeap checks the peak of the heap.
+func checkHeap(t *testing.T, peak uint64) {
+	t.Helper()
+	t.Logf("%d KB of heap", peak>>10)
+	if peak > maxPeerHeap {
+		t.Errorf("%d MB of heap, at most %d allowed", peak>>20, maxPeerHeap>>20)
+	}
+}
+
+// soundServer returns the address of a server whose handler answers.
+func soundServer(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(core.NewClock(), &fakeHandler{reply: soundMessage}, core.NewCounters(), logr.Discard())
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		server.Stop(ctx)
+	})
+	return listener.Addr().String()
+}
+
+var soundMessage = core.ExchangeMessage{From: core.PeerInfo{Name: "n", Zone: "z", Address: "127.0.0.1:1", Incarnation: 3}}
+
+// checkExchange checks that the client exchanges messages with the instance at the address.
+func checkExchange(t *testing.T, client *Client, address string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if _, err := client.Exchange(ctx, address, soundMessage); err != nil {
+		t.Errorf("exchange with a sound peer: %v", err)
+	}
+}
+
+// TestEndlessCalls guards against calls of a faulty peer that are held as long as it sends.
+func TestEndlessCalls(t *testing.T) {
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			address := soundServer(t)
+			peak := hostile.HeapPeak()
+			var calls sync.WaitGroup
+			for range 2 {
+				p, err := dialRaw(address)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for i := range uint32(faultyStreams / 2) {
+					calls.Go(func() { fault(p, 2*i+1, requestFields) })
+				}
+				time.AfterFunc(faultDuration, func() { _ = p.conn.Close() })
+			}
+			client := NewClient(core.NewClock(), core.NewCounters(), &net.Dialer{})
+			defer client.Close()
+			checkExchange(t, client, address)
+			calls.Wait()
+			checkExchange(t, client, address)
+			checkHeap(t, peak())
+		})
+	}
+}
+
+// TestEndlessReplies guards against replies of a faulty peer that are held as long as it sends, and
+// calls that last as long.
+func TestEndlessReplies(t *testing.T) {
+	calls := map[string]func(ctx context.Context, c *Client, address string) error{
+		"delegate": func(ctx context.Context, c *Client, address string) error {
+			_, err := c.Delegate(ctx, address, newGroupRequest().DelegatedRequest, func() {})
+			return err
+		},
+		"gather": func(ctx context.Context, c *Client, address string) error {
+			return c.Gather(ctx, address, newGroupRequest(), func(core.GroupReport) {})
+		},
+		"exchange": func(ctx context.Context, c *Client, address string) error {
+			_, err := c.Exchange(ctx, address, soundMessage)
+			return err
+		},
+	}
+	for name, fault := range faults {
+		for call, run := range calls {
+			t.Run(call+"/"+name, func(t *testing.T) {
+				address, stop, err := serveRaw(fault)
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer stop()
+				client := NewClient(core.NewClock(), core.NewCounters(), &net.Dialer{})
+				defer client.Close()
+				ctx, cancel := context.WithTimeout(context.Background(), faultDuration/3)
+				defer cancel()
+				peak := hostile.HeapPeak()
+				var group sync.WaitGroup
+				for range faultyStreams {
+					group.Go(func() {
+						if err := run(ctx, client, address); err == nil {
+							t.Error("the call succeeded")
+						}
+					})
+				}
+				group.Wait()
+				checkHeap(t, peak())
+				checkExchange(t, client, soundServer(t))
+			})
+		}
+	}
+}
--- a/standin/hostile/heap.go
+++ b/standin/hostile/heap.go
@@ -11,6 +11,8 @@
 // HeapPeak samples the heap of this process until the returned function is called. That function
 // returns the largest number of bytes in use.
 func HeapPeak() func() uint64 {
+	// The second collection frees what a sync.Pool held.
+	runtime.GC()
 	runtime.GC()
 	done, result := make(chan struct{}), make(chan uint64)
 	go func() {
