Peers: bound the memory of the messages that are being received

Callers would have seen an instance run out of memory because one peer sends calls, or replies, that it does not complete: each message may have 4 MB, and their number had no limit. gRPC's window of a connection does not help: it is opened again before the messages are read.

Each connection between instances is now followed frame by frame: the bytes of calls and replies that have not arrived completely are counted over all connections of a direction. If they exceed four of the largest messages, the connection that holds most is closed, counted, and logged by the instance that is called. A connection carries at most 1,024 calls at once.

Without the handling of a cancelled call, TestEndedCallsHoldNothing fails.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -39,6 +39,7 @@
 	clock    core.Clock
 	counters *core.Counters
 	dialer   *net.Dialer
+	received *intake
 
 	mu          sync.Mutex
 	connections map[string]*grpc.ClientConn
@@ -48,7 +49,9 @@
 
 // NewClient returns a client that opens connections with the dialer when they are first needed.
 func NewClient(clock core.Clock, counters *core.Counters, dialer *net.Dialer) *Client {
-	return &Client{clock: clock, counters: counters, dialer: dialer, connections: map[string]*grpc.ClientConn{}, confirming: core.NewSet[string]()}
+	c := &Client{clock: clock, counters: counters, dialer: dialer, connections: map[string]*grpc.ClientConn{}, confirming: core.NewSet[string]()}
+	c.received = newIntake(func(net.Conn, int64) { counters.Add(core.CountMalformedPeerMessages, 1) })
+	return c
 }
 
 // stub returns the gRPC client for the peer at the address. It creates the connection if
@@ -63,9 +66,7 @@
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithDisableRetry(),
-		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-			return c.dialer.DialContext(ctx, "tcp", address)
-		}),
+		grpc.WithContextDialer(c.dial),
 		grpc.WithMaxHeaderListSize(core.MaxReplyHeadBytes),
 		grpc.WithInitialWindowSize(windowBytes),
 		grpc.WithInitialConnWindowSize(windowBytes),
@@ -90,6 +91,15 @@
 	return peerpb.NewPeerClient(connection), nil
 }
 
+// dial opens a connection whose replies are counted.
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return c.received.dialled(conn), nil
+}
+
 // CloseConnection implements core.PeerClient.
 func (c *Client) CloseConnection(address string) {
 	c.mu.Lock()
--- a/io/peer/listener.go
+++ b/io/peer/listener.go
@@ -13,10 +13,11 @@
 var errNoPreface = errors.New("connection does not start with the HTTP/2 preface")
 
 // prefaceListener closes connections that do not start with the HTTP/2 preface and passes their
-// remote address to reject.
+// remote address to reject. The others are counted by intake.
 type prefaceListener struct {
 	net.Listener
 	reject func(from net.Addr)
+	intake *intake
 }
 
 // Accept implements net.Listener.
@@ -25,7 +26,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &prefaceConn{Conn: connection, expected: prefaceStart, reject: l.reject}, nil
+	return l.intake.accepted(&prefaceConn{Conn: connection, expected: prefaceStart, reject: l.reject}), nil
 }
 
 // prefaceConn compares the first bytes that are read from a connection with the preface.
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -44,14 +44,17 @@
 	handler  Handler
 	counters *core.Counters
 	log      logr.Logger
+	received *intake
 	grpc     *grpc.Server
 }
 
 // NewServer returns a server for the handler.
 func NewServer(clock core.Clock, handler Handler, counters *core.Counters, log logr.Logger) *Server {
 	s := &Server{clock: clock, handler: handler, counters: counters, log: log}
+	s.received = newIntake(s.closedForMemory)
 	s.grpc = grpc.NewServer(
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
+		grpc.MaxConcurrentStreams(maxStreams),
 		grpc.MaxHeaderListSize(core.MaxReplyHeadBytes),
 		grpc.InitialWindowSize(windowBytes),
 		grpc.InitialConnWindowSize(windowBytes),
@@ -67,7 +70,14 @@
 
 // Serve serves calls on the listener until Stop is called.
 func (s *Server) Serve(listener net.Listener) error {
-	return s.grpc.Serve(prefaceListener{Listener: listener, reject: s.reject})
+	return s.grpc.Serve(prefaceListener{Listener: listener, reject: s.reject, intake: s.received})
+}
+
+// closedForMemory counts and logs a connection that was closed because its incomplete calls took too
+// much memory.
+func (s *Server) closedForMemory(conn net.Conn, held int64) {
+	s.counters.Add(core.CountMalformedPeerMessages, 1)
+	s.log.Info("connection closed: incomplete messages take too much memory", "from", conn.RemoteAddr().String(), "bytes", held)
 }
 
 // reject counts and logs a connection that did not start with the HTTP/2 preface.
