--- a/io/peer/endless_test.go
+++ b/io/peer/endless_test.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"net"
 	"sync"
@@ -8,6 +9,9 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+	"google.golang.org/protobuf/encoding/protowire"
 
 	"acaciavane/core"
 	"acaciavane/standin/hostile"
@@ -132,3 +136,45 @@
 		}
 	}
 }
+
+// TestMessagesThatExpand guards against messages that are small and become large when they are decoded.
+func TestMessagesThatExpand(t *testing.T) {
+	for name, field := range map[string]protowire.Number{"known peers": 13, "facts": 8} {
+		empty := protowire.AppendBytes(protowire.AppendTag(nil, field, protowire.BytesType), nil)
+		raw := bytes.Repeat(empty, MaxMessageBytes/len(empty))
+		send := func(p *rawPeer, stream uint32, header []hpack.HeaderField) {
+			p.open(stream, header...)
+			p.send(stream, prefix(0, uint32(len(raw))))
+			p.send(stream, raw)
+		}
+		t.Run("call/"+name, func(t *testing.T) {
+			address := soundServer(t)
+			peak := hostile.HeapPeak()
+			p, err := dialRaw(address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = p.conn.Close() }()
+			send(p, 1, requestFields)
+			p.write(func(f *http2.Framer) error { return f.WriteData(1, true, nil) })
+			p.awaitEnd(1)
+			checkHeap(t, peak())
+		})
+		t.Run("reply/"+name, func(t *testing.T) {
+			address, stop, err := serveRaw(send)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer stop()
+			client := NewClient(core.NewClock(), core.NewCounters(), &net.Dialer{})
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(context.Background(), 2*faultDuration)
+			defer cancel()
+			peak := hostile.HeapPeak()
+			if _, err := client.Exchange(ctx, address, soundMessage); err == nil {
+				t.Error("the call succeeded")
+			}
+			checkHeap(t, peak())
+		})
+	}
+}
--- a/io/peer/rawpeer_test.go
+++ b/io/peer/rawpeer_test.go
@@ -86,7 +86,11 @@
 	case *http2.PingFrame:
 		_ = p.framer.WritePing(true, frame.Data)
 	case *http2.HeadersFrame:
-		if _, known := p.windows[frame.StreamID]; !known {
+		_, known := p.windows[frame.StreamID]
+		switch {
+		case known && frame.StreamEnded():
+			delete(p.windows, frame.StreamID)
+		case !known:
 			p.windows[frame.StreamID] = p.initial
 			go p.onHeaders(frame.StreamID)
 		}
@@ -144,6 +148,15 @@
 	})
 }
 
+// awaitEnd waits until the other end has ended the stream.
+func (p *rawPeer) awaitEnd(stream uint32) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, open := p.windows[stream]; open && !p.ended; _, open = p.windows[stream] {
+		p.changed.Wait()
+	}
+}
+
 // encodeFields returns a header block. It does not refer to earlier blocks.
 func encodeFields(fields []hpack.HeaderField) []byte {
 	var block bytes.Buffer
