Peers: refuse messages with many small items before they are decoded

A single message of 4 MB from a faulty peer could end an instance: an empty fact or known peer has two bytes on the wire and takes several hundred when it is decoded.

The codec of calls between instances now counts the items of all lists in the encoded message. More than 16,384 are accepted only at 48 bytes each or more on average. A book of tickets, the largest list that instances send, has 60 bytes for each run. Calls name the codec in their content type (application/grpc+proto), which earlier instances accept as well.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -82,7 +82,7 @@
 			},
 			MinConnectTimeout: core.ExchangeTimeoutMillis.Duration(),
 		}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes)),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(MaxMessageBytes), grpc.ForceCodecV2(newBoundedCodec())),
 	)
 	if err != nil {
 		return nil, fmt.Errorf("connect to peer %s: %w", address, err)
--- a/io/peer/endless_test.go
+++ b/io/peer/endless_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"net"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -11,9 +12,11 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/net/http2"
 	"golang.org/x/net/http2/hpack"
+	"google.golang.org/grpc/mem"
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"acaciavane/core"
+	"acaciavane/io/peer/peerpb"
 	"acaciavane/standin/hostile"
 )
 
@@ -140,7 +143,8 @@
 // TestMessagesThatExpand guards against messages that are small and become large when they are decoded.
 func TestMessagesThatExpand(t *testing.T) {
 	for name, field := range map[string]protowire.Number{"known peers": 13, "facts": 8} {
-		empty := protowire.AppendBytes(protowire.AppendTag(nil, field, protowire.BytesType), nil)
+		// Each item holds an embedded message, if it has a field of this type.
+		empty := protowire.AppendBytes(protowire.AppendTag(nil, field, protowire.BytesType), []byte{10, 0})
 		raw := bytes.Repeat(empty, MaxMessageBytes/len(empty))
 		send := func(p *rawPeer, stream uint32, header []hpack.HeaderField) {
 			p.open(stream, header...)
@@ -178,3 +182,21 @@
 		})
 	}
 }
+
+// TestMostElements guards against a bound on elements that is too high for the memory of an instance.
+func TestMostElements(t *testing.T) {
+	const most = MaxMessageBytes / elementBytes
+	item := protowire.AppendBytes(protowire.AppendTag(nil, 13, protowire.BytesType), []byte{10, 0})
+	raw := bytes.Repeat(item, most-1)
+	raw = protowire.AppendBytes(protowire.AppendTag(raw, 4, protowire.BytesType), make([]byte, MaxMessageBytes-len(raw)-8))
+	peak := hostile.HeapPeak()
+	var decoded peerpb.ExchangeMessage
+	if err := newBoundedCodec().Unmarshal(mem.BufferSlice{mem.SliceBuffer(raw)}, &decoded); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := fromExchange(&decoded); err == nil {
+		t.Error("a message without a sender was accepted")
+	}
+	checkHeap(t, peak())
+	runtime.KeepAlive(&decoded)
+}
--- a/io/peer/intake_test.go
+++ b/io/peer/intake_test.go
@@ -13,6 +13,7 @@
 	"golang.org/x/net/http2"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"acaciavane/core"
@@ -112,3 +113,23 @@
 func (h *largeHandler) AnswerGroup(_ context.Context, _ core.GroupRequest, report func(core.GroupReport) error) error {
 	return report(h.reports[0])
 }
+
+// TestLargestBookIsAccepted guards against a bound on elements that refuses the messages with most of
+// them.
+func TestLargestBookIsAccepted(t *testing.T) {
+	request := core.Request{Collection: "c", Kind: "k"}
+	run := core.RunCopy{Nonce: [16]byte{1}, Fingerprint: request.Fingerprint(), Expires: 2, Answer: core.Unknown("", core.ReasonTimeout, "")}
+	book := core.BookCopy{Home: core.Home{Instance: "n", Incarnation: 1}, Secret: []byte("s")}
+	for size := 0; size < MaxMessageBytes*9/10; size += proto.Size(toBook(core.BookCopy{Runs: []core.RunCopy{run}})) {
+		book.Runs = append(book.Runs, run)
+	}
+	codec := newBoundedCodec()
+	raw, err := codec.Marshal(toBook(book))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var decoded peerpb.Book
+	if err := codec.Unmarshal(raw, &decoded); err != nil || len(decoded.GetRuns()) != len(book.Runs) {
+		t.Errorf("got %d of %d runs, %v", len(decoded.GetRuns()), len(book.Runs), err)
+	}
+}
--- a/io/peer/server.go
+++ b/io/peer/server.go
@@ -55,6 +55,7 @@
 	s.grpc = grpc.NewServer(
 		grpc.MaxRecvMsgSize(MaxMessageBytes),
 		grpc.MaxConcurrentStreams(maxStreams),
+		grpc.ForceServerCodecV2(newBoundedCodec()),
 		grpc.MaxHeaderListSize(core.MaxReplyHeadBytes),
 		grpc.InitialWindowSize(windowBytes),
 		grpc.InitialConnWindowSize(windowBytes),
