--- a/io/configservice/endless_test.go
+++ b/io/configservice/endless_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -66,3 +67,39 @@
 		t.Error("a read was ended only by its caller")
 	}
 }
+
+// TestDocumentsOfManyItems guards against a published value that is small and becomes large when it is
+// decoded, or when its errors are reported.
+func TestDocumentsOfManyItems(t *testing.T) {
+	const maxDocumentHeap = 64 * core.MaxPublishedBytes
+	list := func(start string) []byte {
+		return []byte(start + strings.Repeat("{},", (core.MaxPublishedBytes-len(start)-8)/3) + "{}]}")
+	}
+	documents := map[string]func() error{
+		"services": func() error {
+			_, err := NewDecoder().Configuration(list(`{"version":3,"deployment":"d","maxInstances":4,"services":[`))
+			return err
+		},
+		"instances": func() error {
+			_, err := NewDecoder().InstanceList(list(`{"revision":3,"instances":[`))
+			return err
+		},
+	}
+	for name, decode := range documents {
+		t.Run(name, func(t *testing.T) {
+			peak := hostile.HeapPeak()
+			err := decode()
+			if !errors.Is(err, ErrInvalidDocument) {
+				t.Error("the document was accepted")
+			}
+			used := peak()
+			t.Logf("%d KB of heap", used>>10)
+			if used > maxDocumentHeap {
+				t.Errorf("%d MB of heap, at most %d allowed", used>>20, maxDocumentHeap>>20)
+			}
+			if err != nil && len(err.Error()) > core.MaxPublishedBytes {
+				t.Errorf("an error of %d bytes", len(err.Error()))
+			}
+		})
+	}
+}
