Documents and replies: bound the number of items, values and errors

One reply of a faulty store, configuration service or upstream (own interface) could end an instance though its size is bounded: the limits are those of the text, and empty items take up to several hundred times as much when they are decoded. Errors in a document were all collected, and the line of each was counted from its start.

jsondoc.List and jsondoc.Map refuse a list or object before it is decoded if it has more than 16,384 items of less than 40 bytes on average. Documents that are read strictly have at most 16,384 values of less than 8 bytes on average, and report 100 errors.

--- a/io/jsondoc/jsondoc.go
+++ b/io/jsondoc/jsondoc.go
@@ -52,6 +52,10 @@
 	file string
 	raw  []byte
 	errs []error
+	// values is how many more values may be read.
+	values int
+	// lines holds the offsets of the line ends, once they are needed.
+	lines []int64
 }
 
 // Node is one value in a document, or an absent field.
@@ -82,7 +86,7 @@
 
 // Parse parses a document whose top level is an object.
 func Parse(file string, raw []byte) (*Node, *Document, error) {
-	doc := &Document{file: file, raw: raw}
+	doc := &Document{file: file, raw: raw, values: max(minValues, len(raw)/valueBytes)}
 	decoder := json.NewDecoder(bytes.NewReader(raw))
 	decoder.UseNumber()
 	root, err := doc.parseValue(decoder, "", 0)
@@ -104,7 +108,16 @@
 
 // lineAt returns the line number at an offset in the document.
 func (d *Document) lineAt(offset int64) int {
-	return 1 + bytes.Count(d.raw[:min(offset, int64(len(d.raw)))], []byte("\n"))
+	if d.lines == nil {
+		d.lines = []int64{}
+		for at, char := range d.raw {
+			if char == '\n' {
+				d.lines = append(d.lines, int64(at))
+			}
+		}
+	}
+	line, _ := slices.BinarySearch(d.lines, offset)
+	return 1 + line
 }
 
 // parseValue parses the next value, which is nested in depth objects and arrays.
@@ -113,6 +126,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if d.values--; d.values < 0 {
+		return nil, ErrTooManyItems
+	}
 	node := &Node{doc: d, path: path, offset: decoder.InputOffset(), kind: kindScalar, scalar: token}
 	switch {
 	case token != json.Delim('{') && token != json.Delim('['):
@@ -200,8 +216,11 @@
 	return err
 }
 
-// AddError records an error at the value. Reading continues.
+// AddError records an error at the value, unless there are many already. Reading continues.
 func (n *Node) AddError(format string, values ...any) {
+	if len(n.doc.errs) >= maxErrors {
+		return
+	}
 	failure := &Error{
 		File:    n.doc.file,
 		Line:    n.doc.lineAt(n.offset),
--- a/io/upstream/wire.go
+++ b/io/upstream/wire.go
@@ -1,6 +1,11 @@
 package upstream
 
-import "acaciavane/core"
+import (
+	"encoding/json"
+
+	"acaciavane/core"
+	"acaciavane/io/jsondoc"
+)
 
 // Paths of the HTTP interface of upstreams.
 const (
@@ -48,16 +53,16 @@
 // SearchReply is the reply to a SearchRequest. End repeats AttemptID and is the
 // last field: a reply without it was truncated.
 type SearchReply struct {
-	QueryID     string   `json:"queryId"`
-	AttemptID   string   `json:"attemptId"`
-	Outcome     string   `json:"outcome"`
-	Reason      string   `json:"reason,omitempty"`
-	Snapshot    uint64   `json:"snapshot,omitempty"`
-	Covered     []Range  `json:"covered,omitempty"`
-	Records     []Record `json:"records,omitempty"`
-	RecordCount int      `json:"recordCount"`
-	Status      Status   `json:"status"`
-	End         string   `json:"end"`
+	QueryID     string               `json:"queryId"`
+	AttemptID   string               `json:"attemptId"`
+	Outcome     string               `json:"outcome"`
+	Reason      string               `json:"reason,omitempty"`
+	Snapshot    uint64               `json:"snapshot,omitempty"`
+	Covered     jsondoc.List[Range]  `json:"covered,omitempty"`
+	Records     jsondoc.List[Record] `json:"records,omitempty"`
+	RecordCount int                  `json:"recordCount"`
+	Status      Status               `json:"status"`
+	End         string               `json:"end"`
 }
 
 // OrderRequest requests the execution of an order, which must not be repeated.
@@ -85,10 +90,26 @@
 
 // Status is an upstream's report about itself.
 type Status struct {
-	Incarnation uint64              `json:"incarnation"`
-	State       string              `json:"state"`
-	Snapshots   map[string][]uint64 `json:"snapshots"`
-	Load        float64             `json:"load"`
+	Incarnation uint64      `json:"incarnation"`
+	State       string      `json:"state"`
+	Snapshots   SnapshotIDs `json:"snapshots"`
+	Load        float64     `json:"load"`
+}
+
+// SnapshotIDs are the snapshots that an upstream serves, by collection.
+type SnapshotIDs map[string][]uint64
+
+// UnmarshalJSON implements json.Unmarshaler. It fails if there are too many collections or snapshots.
+func (s *SnapshotIDs) UnmarshalJSON(raw []byte) error {
+	var wire jsondoc.Map[jsondoc.List[uint64]]
+	if err := json.Unmarshal(raw, &wire); err != nil {
+		return err
+	}
+	*s = make(SnapshotIDs, len(wire))
+	for collection, ids := range wire {
+		(*s)[collection] = ids
+	}
+	return nil
 }
 
 func toRanges(ranges []core.KeyRange) []Range {
