Test: many bodies of replies that begin and do not arrive

go test -run TestSlowBodiesHoldLittle ./io/upstream, one run: 1,000 such replies take 70 to 72 MB of heap, where the budget for replies allows 16 MB and 32 KB for each connection.

--- a/io/upstream/intake_test.go
+++ b/io/upstream/intake_test.go
@@ -160,3 +160,40 @@
 		So(string(response.Body), ShouldEqual, "b")
 	})
 }
+
+// TestSlowBodiesHoldLittle guards against buffers for bodies that are announced, or begun, and do not
+// arrive. As many connections as an instance has descriptors are then more than its memory.
+func TestSlowBodiesHoldLittle(t *testing.T) {
+	const connections = 1000
+	const ok = "HTTP/1.1 200 OK\r\n"
+	for name, reply := range map[string]hostile.EndlessReply{
+		"chunked":        {Start: ok + "Transfer-Encoding: chunked\r\n\r\n", Unit: "1\r\nb\r\n"},
+		"with a length":  {Start: ok + "Content-Length: 65536\r\n\r\n", Unit: "b"},
+		"without length": {Start: ok + "\r\n", Unit: "b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			reply.Pause = 200 * time.Millisecond
+			server := reply.Listen()
+			defer server.Close()
+			client := New(core.NewClock(), &net.Dialer{}, core.NewCounters())
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			peak := hostile.HeapPeak()
+			var group sync.WaitGroup
+			for i := range connections {
+				group.Go(func() {
+					target, request := getRequest(server.Address)
+					target.Name = string(rune('a' + i))
+					_, _ = client.Exchange(ctx, target, request, nil, accept)
+				})
+			}
+			group.Wait()
+			used := peak()
+			t.Logf("%d KB of heap", used>>10)
+			// The test itself takes about as much as a connection's share.
+			if limit := core.MaxHeldReplyBytes + connections*unreservedReplyBytes; used > uint64(limit) {
+				t.Errorf("%d MB of heap, at most %d allowed", used>>20, limit>>20)
+			}
+		})
+	}
+}
