Upstream replies: begin a body with a small buffer

Upstreams that begin their replies and never go on made an instance hold a buffer of 64 KB on each connection, beside the budget for replies: 64 MB with 1,000 connections.

A body of up to 32 KB is read into a buffer of its length, which the budget allows each connection without a reservation. Others are read in blocks of 4 KB at first and 64 KB at last, each twice as large as the one before; the blocks are used again, as before.

--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -20,9 +20,12 @@
 	maxForeignReplies = 2
 	// maxInterimReplies is how many replies with a 1xx status may precede the final one.
 	maxInterimReplies = 8
-	// bodyBlockBytes is the longest body whose buffer is allocated from its Content-Length
-	// alone, and the size of the blocks in which longer bodies are read.
-	bodyBlockBytes = 64 << 10
+	// exactBodyBytes is the longest body whose buffer is allocated from its Content-Length alone.
+	exactBodyBytes = unreservedReplyBytes
+	// firstBlockBytes is the size of the first block in which a longer body is read. Each further
+	// block is twice as large, up to the last of blockClasses.
+	firstBlockBytes = 4 << 10
+	blockClasses    = 5
 )
 
 // Request is an HTTP request to an upstream.
@@ -229,7 +232,7 @@
 	switch {
 	case head.ContentLength > core.MaxReplyBytes:
 		return nil, errReplyTooLarge
-	case head.ContentLength >= 0 && head.ContentLength <= bodyBlockBytes:
+	case head.ContentLength >= 0 && head.ContentLength <= exactBodyBytes:
 		body := make([]byte, head.ContentLength)
 		_, err := io.ReadFull(head.Body, body)
 		return body, err
@@ -237,24 +240,41 @@
 	return readBlocks(head.Body)
 }
 
-// blockPool reuses the blocks of readBlocks. Without it, bodies that are abandoned halfway
-// would produce garbage faster than it is collected.
-var blockPool = sync.Pool{New: func() any { return new([bodyBlockBytes]byte) }}
+// block is a buffer for a part of a body.
+type block struct {
+	bytes []byte
+	class int
+}
+
+// blockPools reuses the blocks of each class. Without it, bodies that are abandoned halfway would
+// produce garbage faster than it is collected.
+var blockPools [blockClasses]sync.Pool
+
+// newBlock returns a block of the class, or of the largest one.
+func newBlock(class int) *block {
+	class = min(class, blockClasses-1)
+	if reused, ok := blockPools[class].Get().(*block); ok {
+		return reused
+	}
+	return &block{bytes: make([]byte, firstBlockBytes<<class), class: class}
+}
 
-// readBlocks reads a body in blocks of fixed size, because a growing slice would leave
-// several times its size as garbage.
+// readBlocks reads a body in blocks, because a growing slice would leave several times its size as
+// garbage. The first blocks are small: many bodies may begin and not arrive.
 func readBlocks(body io.Reader) ([]byte, error) {
-	var blocks []*[bodyBlockBytes]byte
+	var blocks []*block
 	defer func() {
-		for _, block := range blocks {
-			blockPool.Put(block)
+		for _, used := range blocks {
+			blockPools[used.class].Put(used)
 		}
 	}()
+	filled := 0
 	for total := 0; ; {
-		if total == len(blocks)*bodyBlockBytes {
-			blocks = append(blocks, blockPool.Get().(*[bodyBlockBytes]byte))
+		if len(blocks) == 0 || filled == len(blocks[len(blocks)-1].bytes) {
+			blocks, filled = append(blocks, newBlock(len(blocks))), 0
 		}
-		count, err := body.Read(blocks[len(blocks)-1][total%bodyBlockBytes:])
+		count, err := body.Read(blocks[len(blocks)-1].bytes[filled:])
+		filled += count
 		total += count
 		switch {
 		case total > core.MaxReplyBytes:
@@ -268,10 +288,10 @@
 }
 
 // joinBlocks returns the first total bytes of the blocks in one slice.
-func joinBlocks(blocks []*[bodyBlockBytes]byte, total int) []byte {
+func joinBlocks(blocks []*block, total int) []byte {
 	body := make([]byte, 0, total)
-	for _, block := range blocks {
-		body = append(body, block[:min(bodyBlockBytes, total-len(body))]...)
+	for _, part := range blocks {
+		body = append(body, part.bytes[:min(len(part.bytes), total-len(body))]...)
 	}
 	return body
 }
