--- a/core/constants.go
+++ b/core/constants.go
@@ -483,6 +483,8 @@
 	FactTTLMillis = 2 * Minute
 	// MaxFacts is the largest number of facts that an instance keeps.
 	MaxFacts = 4096
+	// MaxKnownPeers is how many other instances an instance learns of from messages.
+	MaxKnownPeers = 4096
 )
 
 // Orders: requests that may not be repeated.
--- a/io/peer/endless_test.go
+++ b/io/peer/endless_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"net"
 	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -200,3 +202,33 @@
 	checkHeap(t, peak())
 	runtime.KeepAlive(&decoded)
 }
+
+// TestLongNames guards against names of the size of a message, which are kept for minutes.
+func TestLongNames(t *testing.T) {
+	long, short := strings.Repeat("n", MaxMessageBytes/8), "n"
+	instance := func(name, zone, address string) core.PeerInfo {
+		return core.PeerInfo{Name: name, Zone: zone, Address: address, Incarnation: 1}
+	}
+	message := core.ExchangeMessage{
+		From: instance(short, short, short),
+		Known: []core.KnownPeer{
+			{Info: instance(long, short, short)}, {Info: instance(short, long, short)}, {Info: instance(short, short, long)},
+			{Info: instance(short, short, short)},
+		},
+		Facts: []core.Fact{{Subject: long}, {Address: long}, {Kind: core.FactKind(long)}, {Verdict: core.Verdict(long)}, {Subject: short}},
+	}
+	got, err := fromExchange(toExchange(message))
+	if err != nil || len(got.Known) != 1 || len(got.Facts) != 1 {
+		t.Errorf("%d instances, %d facts, %v; want one of each", len(got.Known), len(got.Facts), err)
+	}
+	for name, from := range map[string]core.PeerInfo{
+		"name": instance(long, short, short), "zone": instance(short, long, short), "address": instance(short, short, long),
+	} {
+		if _, err := fromExchange(toExchange(core.ExchangeMessage{From: from})); !errors.Is(err, ErrMalformed) {
+			t.Errorf("a sender with a long %s: got %v", name, err)
+		}
+	}
+	if _, err := fromExchange(toExchange(core.ExchangeMessage{From: instance(short, short, short), ConfigurationDigest: long})); !errors.Is(err, ErrMalformed) {
+		t.Errorf("a long digest: got %v", err)
+	}
+}
