Peers: bound the instances that messages name, and the length of names

A faulty peer could fill the memory of an instance by well-formed messages: each instance that a message names is kept for 30 s at least, each fact for two minutes at least, with names of any length.

An instance learns of at most 4,096 others from messages, as it keeps 4,096 facts. Those of the list and the seeds are always kept. Facts and instances with names of over 1 KB are left out of a message, and a sender with such a name is malformed.

--- a/core/census.go
+++ b/core/census.go
@@ -33,6 +33,7 @@
 	case ok && known.heardAt >= heardAt:
 	case info.Leaving:
 		delete(c.entries, info.Name)
+	case !ok && len(c.entries) >= MaxKnownPeers:
 	default:
 		c.entries[info.Name] = censusEntry{info: info, heardAt: heardAt}
 	}
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -264,6 +264,9 @@
 		}
 		peer, ok := p.peers[address]
 		if !ok {
+			if len(p.peers) >= MaxKnownPeers {
+				continue
+			}
 			peer = &peerState{address: address}
 			p.peers[address] = peer
 			p.signalLinks()
@@ -295,7 +298,7 @@
 func (p *Peers) Receive(message ExchangeMessage) ExchangeMessage {
 	address := message.From.Address
 	p.mu.Lock()
-	if _, ok := p.peers[address]; !ok && address != p.Self.Address {
+	if _, ok := p.peers[address]; !ok && address != p.Self.Address && len(p.peers) < MaxKnownPeers {
 		p.peers[address] = &peerState{address: address}
 	}
 	p.mu.Unlock()
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"math"
+	"slices"
 
 	"acaciavane/core"
 	"acaciavane/io/peer/peerpb"
@@ -11,6 +12,15 @@
 // ErrMalformed means that a message from a peer lacks a required field or has an invalid one.
 var ErrMalformed = errors.New("malformed message of a peer")
 
+// maxNameBytes is how long a name, an address or a digest may be. Facts and instances are kept for
+// minutes, many of them.
+const maxNameBytes = 1 << 10
+
+// areNames reports whether none of the texts is too long for a name.
+func areNames(texts ...string) bool {
+	return !slices.ContainsFunc(texts, func(text string) bool { return len(text) > maxNameBytes })
+}
+
 // The functions of this file convert between the types of package core and the protobuf
 // messages: toX returns a message, and fromX reads and checks one.
 
@@ -40,6 +50,7 @@
 	return wire
 }
 
+// fromExchange leaves out facts and known instances whose names are too long.
 func fromExchange(wire *peerpb.ExchangeMessage) (core.ExchangeMessage, error) {
 	message := core.ExchangeMessage{
 		From:                 fromInstance(wire.GetFrom()),
@@ -57,17 +68,23 @@
 		WantsList:            wire.GetWantsList(),
 	}
 	for _, known := range wire.GetKnown() {
+		if !hasNames(known.GetInstance()) {
+			continue
+		}
 		message.Known = append(message.Known, core.KnownPeer{
 			Info: fromInstance(known.GetInstance()), Age: max(0, core.Millis(known.GetAgeMillis()))})
 	}
-	if message.From.Name == "" || message.From.Address == "" || message.From.Incarnation == 0 {
+	if message.From.Name == "" || message.From.Address == "" || message.From.Incarnation == 0 ||
+		!hasNames(wire.GetFrom()) || !areNames(message.ConfigurationDigest) {
 		return core.ExchangeMessage{}, ErrMalformed
 	}
 	for _, fact := range wire.GetFacts() {
 		if !isLimit(fact.GetLimitPerSecond()) {
 			return core.ExchangeMessage{}, ErrMalformed
 		}
-		message.Facts = append(message.Facts, fromFact(fact))
+		if areNames(fact.GetKind(), fact.GetSubject(), fact.GetVerdict(), fact.GetAddress()) {
+			message.Facts = append(message.Facts, fromFact(fact))
+		}
 	}
 	return message, nil
 }
@@ -94,6 +111,11 @@
 	}
 }
 
+// hasNames reports whether no name of the instance is too long.
+func hasNames(wire *peerpb.Instance) bool {
+	return areNames(wire.GetName(), wire.GetZone(), wire.GetAddress())
+}
+
 // toFact returns the message for a fact. That of a FactUpstreamCold has the remaining time in
 // milliseconds in the field for crashes, which such a fact does not use.
 func toFact(fact core.Fact) *peerpb.Fact {
