--- a/cli/query.go
+++ b/cli/query.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -38,13 +39,8 @@
 }
 
 func query(ctx context.Context, stdout io.Writer, options queryOptions) error {
-	if options.timeout > 0 {
-		// The instance answers within the timeout. The client waits twice as long, so that the
-		// answer has time to arrive.
-		limitedCtx, cancel := context.WithTimeout(ctx, 2*options.timeout)
-		defer cancel()
-		ctx = limitedCtx
-	}
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout(options.timeout))
+	defer cancel()
 	client := caller.NewClient(options.address)
 	defer client.Close()
 	answer, err := send(ctx, client, options)
@@ -60,6 +56,16 @@
 	return exitErrorFor(answer)
 }
 
+// answerTimeout returns how long the command waits for an answer: twice the time within which the
+// instance answers, so that the answer has time to arrive. Without a timeout, that is the longest
+// one that a request kind may have.
+func answerTimeout(timeout time.Duration) time.Duration {
+	if timeout == 0 {
+		timeout = core.MaxTimeoutMillis.Duration()
+	}
+	return 2 * timeout
+}
+
 // send sends the query or the order. An order without a ticket gets a new one.
 func send(ctx context.Context, client *caller.Client, options queryOptions) (caller.AnswerBody, error) {
 	request := caller.RequestBody{
