--- a/io/peer/group_test.go
+++ b/io/peer/group_test.go
@@ -74,6 +74,23 @@
 	})
 }
 
+// TestMalformedReports guards against a group that counts as not delivered, so that its shards are asked
+// again, although the peer has begun to gather it.
+func TestMalformedReports(t *testing.T) {
+	Convey("A group with a malformed report is not reported as undelivered", t, func() {
+		f := newFixture()
+		defer f.close()
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		f.handler.reports = []core.GroupReport{{Records: []byte("0123456789abcdef")}}
+		for range 50 {
+			err := f.client.Gather(ctx, f.address, newGroupRequest(), func(core.GroupReport) {})
+			So(errors.Is(err, ErrMalformed), ShouldBeTrue)
+			So(errors.Is(err, core.ErrNotDelivered), ShouldBeFalse)
+		}
+	})
+}
+
 func TestBitmapRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		set := core.NewSet(rapid.SliceOf(rapid.IntRange(0, maxGroupShards-1)).Draw(t, "positions")...)
