Groups: a malformed report does not mean that the group was not delivered

A peer that sends a malformed report has the group and may have sent its requests. The instance took the group for not delivered, and asked other instances or the upstreams without counting those attempts.

Gather decides by the address that gRPC sets at the end of a call. After a malformed report it cancelled the call and read the address at once. Now it reads the stream to its end before.

--- a/io/peer/group.go
+++ b/io/peer/group.go
@@ -59,12 +59,24 @@
 		}
 		report, err := fromGroupReport(wire)
 		if err != nil {
+			cancel()
+			awaitEnd(stream)
 			return err
 		}
 		handle(report)
 	}
 }
 
+// awaitEnd reads a stream that was cancelled to its end. Only then has gRPC set what its call options
+// return.
+func awaitEnd(stream grpc.ServerStreamingClient[peerpb.GroupReport]) {
+	for {
+		if _, err := stream.Recv(); err != nil {
+			return
+		}
+	}
+}
+
 // Gather implements peerpb.PeerServer.
 func (s *Server) Gather(wire *peerpb.GroupRequest, stream grpc.ServerStreamingServer[peerpb.GroupReport]) error {
 	request, err := fromGroupRequest(wire)
