--- a/Makefile
+++ b/Makefile
@@ -6,12 +6,14 @@
 build:
 	go build -o build/acaciavane .
 
+# TESTFLAGS are further flags of go test.
+TESTFLAGS ?=
 test:
 	go vet ./...
-	go test -count=1 -p 1 -timeout 20m ./...
+	go test $(TESTFLAGS) -count=1 -p 1 -timeout 20m ./...
 
 race:
-	go test -count=1 -race -timeout 20m ./core/... ./io/... ./cli/... ./platform/...
+	go test $(TESTFLAGS) -count=1 -race -timeout 20m ./core/... ./io/... ./cli/... ./platform/...
 
 demo:
 	go run ./standin/demo
--- a/proof/answer_test.go
+++ b/proof/answer_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"acaciavane/core"
 	"acaciavane/io/caller"
 	"acaciavane/standin/lab"
 )
@@ -24,7 +25,7 @@
 			c := checkAnswers(t, l.finish())
 			must(t, cluster.SetBehaviour(lab.Behaviour{}, "items-02a"))
 			if c.answered == 0 || c.notRun+c.failed > 0 {
-				t.Errorf("want all requests answered")
+				c.reportShortfall(t, c.notRun-c.overloaded+c.failed, "want all requests answered")
 			}
 			if fault != "late" && c.complete < c.answered*95/100 {
 				t.Errorf("want nearly all answers complete: the other replica of the shard replies correctly")
@@ -87,11 +88,16 @@
 	c := checkAnswers(t, results)
 	seen := map[uint64]int{}
 	for _, r := range results {
-		seen[r.answer.Snapshot]++
+		if r.answer.Outcome == string(core.OutcomeAnswered) {
+			seen[r.answer.Snapshot]++
+		}
 	}
 	t.Logf("answers by snapshot: %v", seen)
-	if len(seen) < 2 || c.answered < len(results)*99/100 {
-		t.Errorf("want answers from several snapshots, and nearly all requests answered")
+	if len(seen) < 2 {
+		t.Errorf("want answers from several snapshots")
+	}
+	if c.answered < len(results)*99/100 {
+		c.reportShortfall(t, len(results)-c.answered-c.overloaded, "want nearly all requests answered")
 	}
 	if c.complete < c.answered*90/100 {
 		t.Errorf("want at least 90 percent of the answers complete")
--- a/proof/main_test.go
+++ b/proof/main_test.go
@@ -204,9 +204,23 @@
 }
 
 // answerCounts holds the number of results by outcome. complete is the number of answers
-// with full coverage, and failed the number of requests whose client returned an error.
+// with full coverage, overloaded the part of notRun that was refused as overloaded, and failed
+// the number of requests whose client returned an error.
 type answerCounts struct {
-	answered, complete, notRun, unknown, failed int
+	answered, complete, notRun, overloaded, unknown, failed int
+}
+
+// reportShortfall fails the test because too few requests were answered. others is the number
+// of requests that fell short for another reason than a refusal as overloaded. Without any, the
+// message is the one that KNOWN-RED.txt lists, so that nothing else is taken for that finding.
+func (c answerCounts) reportShortfall(t *testing.T, others int, want string) {
+	t.Helper()
+	if others > 0 || c.answered == 0 {
+		t.Error(want)
+		return
+	}
+	total := c.answered + c.notRun + c.unknown + c.failed
+	t.Errorf("%d of %d requests refused as overloaded", c.overloaded, total)
 }
 
 // checkAnswers checks each answer, fails the test for each wrong one, and returns the
@@ -234,6 +248,9 @@
 			}
 		case core.OutcomeNotRun:
 			c.notRun++
+			if r.answer.Reason == string(core.ReasonOverloaded) {
+				c.overloaded++
+			}
 		default:
 			c.unknown++
 		}
--- a/proof/stop_test.go
+++ b/proof/stop_test.go
@@ -78,7 +78,7 @@
 	results := l.finish()
 	c := checkAnswers(t, results)
 	if c.failed+c.notRun+c.unknown > 0 || c.complete < len(results) {
-		t.Errorf("want a complete answer to every request")
+		c.reportShortfall(t, len(results)-c.complete-c.overloaded, "want a complete answer to every request")
 	}
 }
 
