Stand-in: replies that must be rejected carry other values

What could happen: TestFaultyReplies passed (16.9 s) with a product that does not check the identity of a reply, because the replies of the cases forged, crossed, repeated and noEnd carried the records that the query expects. Only TestRepliesOfAnUpstream of io/upstream found it.

--- a/standin/faults.go
+++ b/standin/faults.go
@@ -63,10 +63,10 @@
 		return
 	case "crossed":
 		previousReply.Lock()
-		raw, previousReply.raw = previousReply.raw, raw
+		raw, previousReply.raw = previousReply.raw, encodeWithOtherValues(reply)
 		previousReply.Unlock()
 	case "repeated":
-		keepLateReply(r, raw)
+		keepLateReply(r, encodeWithOtherValues(reply))
 	case "late":
 		select {
 		case <-time.After(time.Minute):
@@ -76,6 +76,22 @@
 	_, _ = w.Write(raw)
 }
 
+// otherValues returns the records with other values, so that an answer that uses a reply which
+// must be rejected is wrong.
+func otherValues(records []upstream.Record) []upstream.Record {
+	changed := slices.Clone(records)
+	for i := range changed {
+		changed[i].Value = "of a reply that must be rejected"
+	}
+	return changed
+}
+
+func encodeWithOtherValues(reply upstream.SearchReply) []byte {
+	reply.Records = otherValues(reply.Records)
+	raw, _ := json.Marshal(reply)
+	return raw
+}
+
 // injectFault changes an answered reply according to the fault. The faults that
 // concern the connection or the encoding are in writeReply.
 func injectFault(fault string, reply *upstream.SearchReply) {
@@ -85,12 +101,15 @@
 	switch fault {
 	case "forged":
 		reply.AttemptID = "forged"
+		reply.Records = otherValues(reply.Records)
 	case "wrongSnapshot":
 		reply.Snapshot++
+		reply.Records = otherValues(reply.Records)
 	case "lacksRecords":
 		reply.Records = reply.Records[:len(reply.Records)/2]
 	case "noEnd":
 		reply.End = ""
+		reply.Records = otherValues(reply.Records)
 	case "duplicated":
 		reply.Records = append(reply.Records, reply.Records...)
 		reply.RecordCount = len(reply.Records)
