--- a/io/configservice/client.go
+++ b/io/configservice/client.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"time"
 
 	"acaciavane/core"
 )
@@ -37,10 +36,11 @@
 // New returns a client of the platform at an address in the form IP:PORT.
 func New(address string, dialer *net.Dialer) *Client {
 	return &Client{address: address, http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: 2,
-		IdleConnTimeout:     30 * time.Second,
-		DisableCompression:  true,
+		DialContext:        dialer.DialContext,
+		DisableCompression: true,
+		// A second copy of a reply can't be told from the reply to the next read, so a connection
+		// carries one read.
+		DisableKeepAlives: true,
 
 		MaxResponseHeaderBytes: core.MaxReplyHeadBytes,
 	}}}
