Use connections once only after a success without a length was refused

Callers waited for a connection, or were refused, for 10 s after an upstream had sent any reply without a length, also a failure, because each request took a connection of its own and a closed one keeps its place for 20 ms.

Single use begins now when a success was refused since it has no length and may hold a part of another reply, and lasts 10 s from the last success without a length. TestRepliesWithoutLength checks that it is logged and shown exactly then; the number of refused orders is as before.

--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -115,7 +115,7 @@
 		response.ExtraInput = true
 	}
 	if pooled.noLength {
-		c.recordNoLength(pool)
+		c.recordNoLength(pool, pooled.refused)
 	}
 	if err == nil {
 		err = check(response)
@@ -172,7 +172,7 @@
 		own = func(http.Header) bool { return true }
 	}
 	for range maxForeignReplies + 1 {
-		response, end, err := pooled.readReply(ctx, request, own)
+		response, end, err := pooled.readReply(ctx, request)
 		if err != nil {
 			return Response{}, false, err
 		}
@@ -183,7 +183,9 @@
 			if pooled.bodyOverlaps(end, response.Body) {
 				return Response{}, false, pooled.overlap()
 			}
+			pooled.noLength = end.withConnection && response.Status < http.StatusMultipleChoices
 			if end.withConnection && pooled.mayHoldCopy(response.Body) {
+				pooled.refused = true
 				return Response{}, false, badReply("the body has no length and may hold a part of the reply to another request")
 			}
 			if pooled.reader.Buffered() > 0 {
@@ -231,14 +233,13 @@
 }
 
 // readReply returns the next final reply on the connection.
-func (p *pooledConn) readReply(ctx context.Context, request Request, own func(http.Header) bool) (Response, replyEnd, error) {
+func (p *pooledConn) readReply(ctx context.Context, request Request) (Response, replyEnd, error) {
 	head, err := p.readHead(ctx, request)
 	if err != nil {
 		return Response{}, replyEnd{}, err
 	}
 	defer func() { _ = head.Body.Close() }()
 	end := replyEnd{closes: head.Close, inChunks: len(head.TransferEncoding) > 0, withConnection: endsWithConnection(head, request.Method)}
-	p.noLength = end.withConnection && own(head.Header)
 	var body []byte
 	if request.Method != http.MethodHead {
 		body, err = readBody(head)
--- a/io/upstream/lanes.go
+++ b/io/upstream/lanes.go
@@ -53,8 +53,9 @@
 	sentHead, sentOther bool
 	// reused is set once a second request was sent.
 	reused bool
-	// noLength is set if the reply to the request ends with the connection.
-	noLength bool
+	// noLength is set if the reply to the request is a success that ends with the connection, and
+	// refused if it was refused for that.
+	noLength, refused bool
 	// overlapWait is how long the rest of an overlapping reply is waited for.
 	overlapWait time.Duration
 	// watched is set if the upstream sent extra input within extraWatchMillis.
--- a/io/upstream/singleuse.go
+++ b/io/upstream/singleuse.go
@@ -9,11 +9,11 @@
 
 // Replies without a length. Such a reply ends with its connection, so bytes of another reply inside
 // its body displace nothing that could be noticed. Only a connection that has carried no other
-// request can't deliver them. An upstream that replies so gets one request for each connection.
+// request can't deliver them. After such a reply was refused for that, its upstream gets one request for
+// each connection for a while: other replies of it may be whole as well.
 
-// singleUseMillis is how long the connections to an upstream carry one request each after it sent a
-// reply without a length. An upstream that sends both kinds of replies has one refused in that time
-// for each connection that it has open by then, at most.
+// singleUseMillis is how long the connections to an upstream carry one request each after a refused
+// success without a length, or after another success without a length in that time.
 const singleUseMillis = 10 * core.Second
 
 // endsWithConnection reports whether only the end of the connection ends the body.
@@ -21,14 +21,16 @@
 	return head.ContentLength < 0 && len(head.TransferEncoding) == 0 && method != http.MethodHead
 }
 
-// beginSingleUse has connections carry one request each for singleUseMillis. It reports whether they
-// carried more before.
-func (p *connPool) beginSingleUse() bool {
+// extendSingleUse has connections carry one request each for singleUseMillis from now on, if they do so
+// already or if refused is set. It reports whether they carried more before.
+func (p *connPool) extendSingleUse(refused bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	begins := !p.singleUseLocked()
-	p.singleUseUntil = p.clock.Now() + singleUseMillis
-	return begins
+	active := p.singleUseLocked()
+	if active || refused {
+		p.singleUseUntil = p.clock.Now() + singleUseMillis
+	}
+	return refused && !active
 }
 
 // singleUseLocked reports whether connections carry one request each. The caller holds the lock.
@@ -75,9 +77,9 @@
 	return uses
 }
 
-// recordNoLength begins the single use of connections to an upstream and logs it.
-func (c *Client) recordNoLength(pool *connPool) {
-	if pool.beginSingleUse() {
+// recordNoLength records a success without a length, and logs it if it begins the single use of connections.
+func (c *Client) recordNoLength(pool *connPool, refused bool) {
+	if pool.extendSingleUse(refused) {
 		c.extra.log.Info("upstream sends replies without a length; one request for each connection", "upstream", pool.target.Name,
 			"service", pool.target.Service, "forMillis", int64(singleUseMillis))
 	}
