--- a/standin/faults/list.go
+++ b/standin/faults/list.go
@@ -58,7 +58,7 @@
 	},
 	{
 		name: "damagedSignatureTaken", file: "platform/upstream.go",
-		old: "strings.ContainsFunc(header.Get(headerSignature), unicode.IsUpper)", new: "strings.ContainsFunc(\"\", unicode.IsUpper)",
+		old: "strings.ContainsFunc(header.Get(headerSignature), endsSignature)", new: "strings.ContainsFunc(\"\", endsSignature)",
 		pkg: "./platform", test: "TestInsertedPrefixes",
 	},
 	{
