--- a/review/lab2/backend.go
+++ b/review/lab2/backend.go
@@ -78,6 +78,10 @@
 	down             atomic.Bool
 	executing, queue atomic.Int64
 	permits          chan struct{}
+	// crashes, if set, reports whether a request crashes the backend when it begins to run it. crashed
+	// is then called once the backend is down.
+	crashes func(r *http.Request) bool
+	crashed func(id string)
 }
 
 func newBackend(id, service, zone string, slots int, work time.Duration, l *ledger) (*backend, error) {
@@ -144,6 +148,15 @@
 		return
 	}
 	b.ledger.add(id)
+	if b.crashes != nil && b.crashes(r) {
+		b.executing.Add(-1)
+		<-b.permits
+		if b.down.CompareAndSwap(false, true) {
+			_ = b.server.Close()
+			go b.crashed(id)
+		}
+		return
+	}
 	select {
 	case <-time.After(b.pause() + b.workFor(r.URL.Path)):
 	case <-r.Context().Done():
--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -31,7 +31,7 @@
 }
 
 // ask sends one attempt and reads its answer.
-func ask(client *http.Client, address, target string, deadline time.Duration) answer {
+func ask(client *http.Client, address, target, caller string, deadline time.Duration) answer {
 	a := answer{id: newID(), sent: time.Now()}
 	ctx, cancel := context.WithTimeout(context.Background(), deadline)
 	defer cancel()
@@ -42,6 +42,7 @@
 	}
 	request.Host = host
 	request.Header.Set("X-Request-Id", a.id)
+	request.Header.Set(headerCaller, caller)
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(max(1, deadline.Milliseconds())))
 	response, err := client.Do(request)
 	if err != nil {
--- a/review/lab2/main.go
+++ b/review/lab2/main.go
@@ -20,6 +20,7 @@
 // cases are the cases by name. Each returns its exit code.
 var cases = map[string]func(d *deployment, trouble bool, record *recorder) int{
 	"popular": popularCase,
+	"crasher": crasherCase,
 }
 
 func main() {
