--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,3 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 go build -o target/review-lab2 ./review/lab2
+go build -o target/review-lab3 ./review/lab3
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -1,4 +1,4 @@
-// Command lab3 plays cases of a review with processes of the system, and with stand-ins for its clients, its
+// Command lab3 plays case 9 of the second review with processes of the system, and with stand-ins for its clients, its
 // backends and the platform.
 package main
 
