--- a/review/lab3/hang.go
+++ b/review/lab3/hang.go
@@ -135,7 +135,7 @@
 			group.Go(func() {
 				s.mu.Lock()
 				defer s.mu.Unlock()
-				if s.kept == nil {
+				if s.kept == nil || time.Since(s.usedAt) > reuseWithin {
 					return
 				}
 				got, _ := s.kept.ask(t.nextID(), priceLookup, priceLookup.timeout+answerSlack)
--- a/review/lab3/traffic.go
+++ b/review/lab3/traffic.go
@@ -77,15 +77,19 @@
 	usedAt time.Time
 }
 
-// reuseWithin is how long clients reuse an idle connection: less than four fifths of idle-timeout-ms.
-const reuseWithin = 40 * time.Second
+const (
+	// renewAfter is how long a spare connection is idle until it is opened again.
+	renewAfter = 30 * time.Second
+	// reuseWithin is how long clients reuse an idle connection: four fifths of idle-timeout-ms.
+	reuseWithin = 48 * time.Second
+)
 
 // keep keeps the spare connection to a machine open until stop is closed. It opens a new one when the last one was idle
 // for long or was closed, if the machine gets new connections.
 func (t *traffic) keep(s *spare, m *machine, stop <-chan struct{}) {
 	for {
 		s.mu.Lock()
-		if (s.kept == nil || time.Since(s.usedAt) > reuseWithin) && t.lab.balancer.inRotation(m) {
+		if (s.kept == nil || time.Since(s.usedAt) > renewAfter) && t.lab.balancer.inRotation(m) {
 			t.renew(s, m)
 		}
 		s.mu.Unlock()
