--- a/core/crashwatch.go
+++ b/core/crashwatch.go
@@ -1,5 +1,7 @@
 package core
 
+import "github.com/go-logr/logr"
+
 // crashDetector detects routed requests that crash upstreams. A crash means that an attempt
 // lost its connection and that probes could not reach its upstream afterwards. A request
 // is convicted when this happens again to an attempt that was sent after the first
@@ -8,17 +10,21 @@
 	clock      Clock
 	fleet      *Fleet
 	quarantine *Quarantine
+	log        logr.Logger
 }
 
 // connectionLost records that an attempt has just lost its connection. sent is when the
 // attempt was sent. The loss counts as a crash if probes have found the upstream
 // unreachable CrashConfirmMillis later.
-func (w *crashDetector) connectionLost(fingerprint, upstream string, sent Millis) {
+func (w *crashDetector) connectionLost(request RoutedRequest, upstream string, sent Millis) {
 	lostAt := w.clock.Now()
 	w.clock.AfterFunc(CrashConfirmMillis, func() {
-		if w.fleet.Unreachable(upstream) {
-			w.quarantine.RecordSharedCrash(fingerprint, sent, lostAt)
+		if !w.fleet.Unreachable(upstream) {
+			return
 		}
+		verdict := w.quarantine.RecordSharedCrash(request.fingerprint, sent, lostAt)
+		w.log.Info("upstream crashed", "request", request.ID, "upstream", upstream, "fingerprint", request.fingerprint,
+			"sent", int64(sent), "lost", int64(lostAt), "verdict", verdict, "crashes", w.quarantine.Crashes(request.fingerprint))
 	})
 }
 
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -205,7 +205,7 @@
 		}
 		permit.Fail(result.failure)
 		if result.failure.Kind == FailureLost {
-			d.router.crashes.connectionLost(d.request.fingerprint, permit.Target().Name, permit.since)
+			d.router.crashes.connectionLost(d.request, permit.Target().Name, permit.since)
 		}
 		return result
 	}
--- a/core/router.go
+++ b/core/router.go
@@ -56,7 +56,7 @@
 		RouterConfig: config,
 		latencies:    newRouteLatencies(),
 		offloader:    &offloader{clock: config.Clock, lag: config.Lag},
-		crashes:      &crashDetector{clock: config.Clock, fleet: config.Fleet, quarantine: config.Quarantine},
+		crashes:      &crashDetector{clock: config.Clock, fleet: config.Fleet, quarantine: config.Quarantine, log: config.Log},
 	}
 }
 
