core: a reply of any upstream clears a request of crashing upstreams

Cause: only a complete answer cleared a request. While a shard is down there is none, although the other 19 shards run the request unharmed. A complete answer within the 400 ms until a crash is confirmed did not count either.

Change: each signed reply clears the request where it is read, for attempts of all kinds, and a loss is not counted as a crash if a reply came before it was confirmed. A request that crashes upstreams crashes each one that runs it, so such a reply is proof. A server error clears nothing any more.

TestRepliesDuringOutageClear fails in two of four cases before.

--- a/core/crashwatch_test.go
+++ b/core/crashwatch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 )
@@ -76,6 +77,50 @@
 	}
 }
 
+// TestRepliesDuringOutageClear guards against the conviction of a request that is in flight at
+// upstreams when they crash, although other upstreams reply to it all the while.
+func TestRepliesDuringOutageClear(t *testing.T) {
+	cases := []struct {
+		name     string
+		route    Route
+		replicas int
+		// crashed are the upstreams that crash with the next request that they get.
+		crashed []string
+		// others is what the remaining upstreams do.
+		others  behaviour
+		refused bool
+	}{
+		{"both upstreams of a shard, the other shards answer", scatteredRoute(20, 0.89), 2, []string{"s3-a", "s3-b"}, answers(10), false},
+		{"upstreams of several shards", scatteredRoute(20, 0.89), 2, []string{"s3-a", "s3-b", "s4-a", "s4-b", "s5-a"}, answers(10), false},
+		{"two of three upstreams of a service", plainRoute(true, 2), 3, []string{"s0-a", "s0-b"}, answers(10), false},
+		{"the third upstream fails all requests", plainRoute(true, 2), 3, []string{"s0-a", "s0-b"}, fails(FailureError, 5), true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				f := newRouterFixture(20, tc.replicas, tc.route)
+				for _, target := range f.fleet.Targets() {
+					f.set(target.Name, tc.others)
+				}
+				var group sync.WaitGroup
+				defer group.Wait()
+				for _, name := range tc.crashed {
+					f.set(name, f.crashes(name, 5))
+				}
+				for range 50 {
+					group.Go(func() { f.ask(context.Background()) })
+					time.Sleep(20 * time.Millisecond)
+				}
+				time.Sleep(2 * time.Second)
+				last := f.ask(context.Background())
+				if refused := last.Reason == ReasonCrashesUpstreams; refused != tc.refused {
+					t.Errorf("the last answer is %s (%s)", last.Outcome, last.Reason)
+				}
+			})
+		})
+	}
+}
+
 // TestConvictionAfterCrashes checks that a request is convicted only by crashes that happen
 // one after the other. Upstreams that crash at the same time may have another cause.
 func TestConvictionAfterCrashes(t *testing.T) {
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -192,6 +192,11 @@
 		Confirm:  permit.confirm(d.router.Pause),
 	})
 	if err == nil {
+		// The signature proves that the upstream ran the request. A server error is no proof: it may
+		// have come before any work was done.
+		if reply.Signature != "" {
+			d.router.crashes.survived(d.request.fingerprint)
+		}
 		err = d.checkReply(reply)
 	}
 	result := routedResult{permit: permit, reply: reply}
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -12,7 +12,7 @@
 	// for a conviction.
 	VerdictSuspect Verdict = "suspect"
 	// VerdictCleared means that an upstream ran the request and did not crash: in a run on
-	// its own or, for a routed request, in any run.
+	// its own or, for a routed request, in any run, also that of a single shard.
 	VerdictCleared Verdict = "cleared"
 	// VerdictConvicted means that ConvictAfterCrashes upstreams were lost, each while it ran
 	// only this request or, for a routed request, one after the other.
--- a/core/router.go
+++ b/core/router.go
@@ -56,7 +56,7 @@
 		RouterConfig: config,
 		latencies:    newRouteLatencies(),
 		offloader:    &offloader{clock: config.Clock, lag: config.Lag},
-		crashes:      &crashDetector{clock: config.Clock, fleet: config.Fleet, quarantine: config.Quarantine, log: config.Log},
+		crashes:      newCrashDetector(config),
 	}
 }
 
@@ -334,14 +334,12 @@
 }
 
 // logAnswer logs an answer: at the debug level if it is complete and no reply was rejected, at the
-// info level if not. A complete answer also proves that the request does not crash upstreams.
+// info level if not.
 func (r *Router) logAnswer(request RoutedRequest, answer RoutedAnswer) {
 	merged, _ := answer.Merged.Get()
-	if answer.Outcome == OutcomeAnswered && merged.Missing == 0 {
-		r.crashes.survived(request.fingerprint)
-		if answer.Parts.Rejected == 0 && !r.Log.V(1).Enabled() {
-			return
-		}
+	complete := answer.Outcome == OutcomeAnswered && merged.Missing == 0
+	if complete && answer.Parts.Rejected == 0 && !r.Log.V(1).Enabled() {
+		return
 	}
 	fields := []any{"route", answer.Route, "configuration", answer.ConfigurationVersion,
 		"attempts", answer.Attempts, "elapsedMillis", int64(r.Clock.Since(request.Arrived))}
