core: a request that was convicted of crashing upstreams is tried again

Where all upstreams of a service crash one after the other, no reply can clear the requests in flight, and nothing ends their conviction for ten minutes, since a convicted request never runs.

Change: 10 to 15 s after a conviction, and then after 40 s and 160 s, one instance runs the request once, on one upstream that runs nothing else for it; a scattered one at one shard first. A reply ends the verdict everywhere. After three crashes in trials there is no further one before the verdict expires. The queries and orders of the own interface do the same by an isolated run.

TestConvictionEndsByTrial fails before: refused until the end. A request that does crash upstreams crashes three more in ten minutes at most (TestTrialsAreBounded).

--- a/core/constants.go
+++ b/core/constants.go
@@ -480,6 +480,15 @@
 	// found its upstream unreachable. If they did, the upstream counts as crashed. The delay
 	// leaves time for a probe.
 	CrashConfirmMillis = 400 * Millis(1)
+	// TrialDelayMillis is the time from a conviction until the request may run once more, on one
+	// upstream, to find out whether it is still to blame. It leaves crashed upstreams the time to
+	// start again. Up to half of it is added at random, so that instances do not try at the same
+	// moment. After each crash in a trial the delay is TrialDelayFactor times as long.
+	TrialDelayMillis = 10 * Second
+	TrialDelayFactor = 4
+	// MaxTrials is how many trials of a convicted request may crash an upstream. There are no
+	// further ones before the verdict expires.
+	MaxTrials = 3
 	// VerdictTTLMillis is how long a verdict on a request holds.
 	VerdictTTLMillis = 10 * Minute
 	// FactTTLMillis is how long facts other than verdicts are gossiped: leaving upstreams
--- a/core/counters.go
+++ b/core/counters.go
@@ -55,10 +55,12 @@
 	// CountOrdersJoined counts orders that shared the run of an earlier order with the same
 	// ticket.
 	CountOrdersJoined
-	// CountConvictions counts convictions of requests that crash upstreams, and
-	// CountCrashingRequestsRefused the requests refused after one.
+	// CountConvictions counts convictions of requests that crash upstreams,
+	// CountCrashingRequestsRefused the requests refused after one, and CountVerdictTrials those
+	// that ran to find out whether the conviction still holds.
 	CountConvictions
 	CountCrashingRequestsRefused
+	CountVerdictTrials
 	CountConfigurationsAccepted
 	CountConfigurationsRefused
 	// CountConfigurationConflicts counts configurations that differ from the one in force with
@@ -152,6 +154,7 @@
 	CountOrdersJoined:            "ordersJoined",
 	CountConvictions:             "convictions",
 	CountCrashingRequestsRefused: "crashingRequestsRefused",
+	CountVerdictTrials:           "verdictTrials",
 	CountConfigurationsAccepted:  "configurationsAccepted",
 	CountConfigurationsRefused:   "configurationsRefused",
 	CountConfigurationConflicts:  "configurationConflicts",
--- a/core/crashwatch.go
+++ b/core/crashwatch.go
@@ -17,6 +17,7 @@
 	clock      Clock
 	fleet      *Fleet
 	quarantine *Quarantine
+	counters   *Counters
 	log        logr.Logger
 
 	mu sync.Mutex
@@ -35,7 +36,7 @@
 // newCrashDetector returns a detector that has seen no lost connections.
 func newCrashDetector(config RouterConfig) *crashDetector {
 	return &crashDetector{
-		clock: config.Clock, fleet: config.Fleet, quarantine: config.Quarantine, log: config.Log,
+		clock: config.Clock, fleet: config.Fleet, quarantine: config.Quarantine, counters: config.Counters, log: config.Log,
 		unconfirmed: map[string]*lostConnections{},
 	}
 }
@@ -58,10 +59,14 @@
 		if !w.fleet.Unreachable(upstream) {
 			return
 		}
-		verdict := w.quarantine.Verdict(request.fingerprint)
+		before := w.quarantine.Verdict(request.fingerprint)
+		verdict := before
 		if !survived {
 			verdict = w.quarantine.RecordSharedCrash(request.fingerprint, sent, lostAt)
 		}
+		if verdict == VerdictConvicted && before != VerdictConvicted {
+			w.counters.Add(CountConvictions, 1)
+		}
 		w.log.Info("upstream crashed", "request", request.ID, "upstream", upstream, "fingerprint", request.fingerprint,
 			"sent", int64(sent), "lost", int64(lostAt), "survivedElsewhere", survived,
 			"verdict", verdict, "crashes", w.quarantine.Crashes(request.fingerprint))
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -28,6 +28,8 @@
 	avoid Set[string]
 	// besideGroup is set if the shard is in a group, too.
 	besideGroup bool
+	// isolated is set if the request must run on an upstream that runs nothing else for this instance.
+	isolated bool
 
 	// exclude holds the upstreams of avoid and those at which an attempt has failed.
 	exclude Set[string]
@@ -121,6 +123,7 @@
 	want.Service = d.service
 	want.Kind = d.route.Name
 	want.Priority = d.route.Priority
+	want.Exclusive = d.isolated
 	want.KeepOnConnectionLoss = true
 	want.WaitUntil = d.queueDeadline
 	if want.Exclude == nil {
--- a/core/engine.go
+++ b/core/engine.go
@@ -103,7 +103,11 @@
 	}
 	fingerprint := request.Fingerprint()
 	verdict := e.Quarantine.Verdict(fingerprint)
-	if verdict == VerdictConvicted {
+	switch {
+	case verdict == VerdictConvicted && e.Quarantine.BeginTrial(fingerprint):
+		// A suspect runs on one upstream alone first.
+		verdict = VerdictSuspect
+	case verdict == VerdictConvicted:
 		return refuse(ReasonCrashesUpstreams, "requests with fingerprint %s crash upstreams", fingerprint)
 	}
 	return admission{
--- a/core/quarantine.go
+++ b/core/quarantine.go
@@ -1,6 +1,9 @@
 package core
 
-import "sync"
+import (
+	"math/rand/v2"
+	"sync"
+)
 
 // Verdict says whether requests with one fingerprint crash upstreams.
 type Verdict string
@@ -38,6 +41,9 @@
 	// lostAt is when the last upstream that crashed was lost or, for a verdict of a peer,
 	// when the peer reached it.
 	lostAt Millis
+	// trialDue is when a convicted request may be tried again, and triedAt when this instance
+	// last began to. They are zero if there is no trial.
+	trialDue, triedAt Millis
 }
 
 // NewQuarantine returns an empty quarantine. It calls notify for each verdict that this
@@ -109,11 +115,13 @@
 // RecordSharedCrash records that an upstream was lost while it ran an attempt, possibly
 // among other requests, and returns the new verdict. sent and lostAt are when the attempt
 // was sent and when the upstream was lost. An attempt that was sent before the previous
-// upstream was lost does not count: a single cause may have crashed both upstreams.
+// upstream was lost does not count: a single cause may have crashed both upstreams. Once the
+// request is convicted, only a crash in a trial of this instance counts.
 func (q *Quarantine) RecordSharedCrash(fingerprint string, sent, lostAt Millis) Verdict {
 	q.mu.Lock()
 	entry := q.entry(fingerprint)
-	if entry.verdict == VerdictConvicted || (entry.crashes > 0 && sent < entry.lostAt) {
+	isTrial := entry.triedAt != 0 && sent >= entry.triedAt
+	if (entry.verdict == VerdictConvicted && !isTrial) || (entry.crashes > 0 && sent < entry.lostAt) {
 		q.mu.Unlock()
 		return entry.verdict
 	}
@@ -138,13 +146,61 @@
 	if entry.stamp >= fact.Stamp {
 		return
 	}
+	at := q.clock.Now() - fact.Age
 	q.verdicts[fact.Subject] = verdictEntry{
-		verdict: fact.Verdict,
-		stamp:   fact.Stamp,
-		crashes: fact.Crashes,
-		at:      q.clock.Now() - fact.Age,
-		lostAt:  q.clock.Now() - fact.Age,
+		verdict:  fact.Verdict,
+		stamp:    fact.Stamp,
+		crashes:  fact.Crashes,
+		at:       at,
+		lostAt:   at,
+		trialDue: newTrialDue(fact.Verdict, fact.Crashes, at),
+	}
+}
+
+// newTrialDue returns when a request may be tried again that was convicted, or last tried, at the
+// given time after the given number of crashes. It returns zero for another verdict, and if the
+// request is not tried again.
+func newTrialDue(verdict Verdict, crashes int, at Millis) Millis {
+	trials := max(0, crashes-ConvictAfterCrashes)
+	if verdict != VerdictConvicted || trials >= MaxTrials {
+		return 0
+	}
+	delay := TrialDelayMillis
+	for range trials {
+		delay *= TrialDelayFactor
+	}
+	return at + delay + Millis(rand.Int64N(int64(delay/2)))
+}
+
+// TrialDue returns when the convicted request may be tried again. It returns none if it is not
+// convicted, or not tried before the verdict expires.
+func (q *Quarantine) TrialDue(fingerprint string) Option[Millis] {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	entry := q.entry(fingerprint)
+	if entry.verdict != VerdictConvicted || entry.trialDue == 0 {
+		return None[Millis]()
 	}
+	return Some(entry.trialDue)
+}
+
+// BeginTrial reports whether the convicted request may be tried now. If so, the next trial is due
+// only after another delay, also at the other instances.
+func (q *Quarantine) BeginTrial(fingerprint string) bool {
+	q.mu.Lock()
+	entry := q.entry(fingerprint)
+	now := q.clock.Now()
+	if entry.verdict != VerdictConvicted || entry.trialDue == 0 || now < entry.trialDue {
+		q.mu.Unlock()
+		return false
+	}
+	fact := q.setVerdict(fingerprint, VerdictConvicted, entry.crashes)
+	entry = q.verdicts[fingerprint]
+	entry.triedAt = now
+	q.verdicts[fingerprint] = entry
+	q.mu.Unlock()
+	q.notify(fact)
+	return true
 }
 
 // setVerdict stores a verdict with the next stamp, and returns the fact that reports it
@@ -153,7 +209,9 @@
 	now := q.clock.Now()
 	q.expire(now)
 	stamp := max(uint64(now), q.verdicts[fingerprint].stamp+1)
-	q.verdicts[fingerprint] = verdictEntry{verdict: verdict, stamp: stamp, crashes: crashes, at: now}
+	q.verdicts[fingerprint] = verdictEntry{
+		verdict: verdict, stamp: stamp, crashes: crashes, at: now, trialDue: newTrialDue(verdict, crashes, now),
+	}
 	return Fact{Kind: FactVerdict, Subject: fingerprint, Stamp: stamp, Verdict: verdict, Crashes: crashes}
 }
 
--- a/core/router.go
+++ b/core/router.go
@@ -176,9 +176,8 @@
 	switch {
 	case lag > OffloadRefuseFactor*objective:
 		return g.refuseLagging(lag), false
-	case r.crashes.convicted(g.request.fingerprint):
-		r.Counters.Add(CountCrashingRequestsRefused, 1)
-		return refuseRouted(ReasonCrashesUpstreams, 0, "requests with fingerprint %s crash upstreams", g.request.fingerprint), false
+	case r.crashes.convicted(g.request.fingerprint) && !r.trialDue(g.request.fingerprint):
+		return r.refuseConvicted(g.request.fingerprint), false
 	case g.deadline <= r.Clock.Now():
 		return refuseRouted(ReasonDeadlinePassed, 0, "the deadline has passed"), false
 	case len(delegates) > 0:
@@ -194,10 +193,12 @@
 		return g.refuseLagging(lag), false
 	case warmingUp:
 		return refuseRouted(ReasonNotReady, max(RetrySoonMillis, warmupEnd-r.Clock.Now()), "other instances and upstreams are being found"), false
+	case r.crashes.convicted(g.request.fingerprint):
+		return g.try(ctx), false
 	case g.route.Scattered():
 		return r.scatter(ctx, g), false
 	}
-	return r.forward(ctx, g.route, g.request, g.deadline), false
+	return r.forward(ctx, g.route, g.request, g.deadline, false), false
 }
 
 // refuseLagging refuses the request because of the lag, in milliseconds.
@@ -205,8 +206,9 @@
 	return refuseRouted(ReasonOverloaded, RetrySoonMillis, "this instance is %.0f ms behind", lag)
 }
 
-// forward sends the request to the upstreams of one destination until one has answered.
-func (r *Router) forward(ctx context.Context, route Route, request RoutedRequest, deadline Millis) RoutedAnswer {
+// forward sends the request to the upstreams of one destination until one has answered. If isolated is
+// set, it uses only upstreams that run nothing else for this instance.
+func (r *Router) forward(ctx context.Context, route Route, request RoutedRequest, deadline Millis, isolated bool) RoutedAnswer {
 	service := route.pick()
 	if r.Fleet.ReachableServices([]string{service}) == 0 {
 		answer := refuseRouted(ReasonNoUpstream, RetrySoonMillis, "no upstream of %s can be reached", service)
@@ -219,7 +221,7 @@
 	defer cancel()
 	d := &dispatch{
 		router: r, route: route, request: request, service: service, deadline: deadline,
-		queueDeadline: r.queueDeadline(route, deadline), attemptCtx: attemptCtx,
+		queueDeadline: r.queueDeadline(route, deadline), attemptCtx: attemptCtx, isolated: isolated,
 	}
 	reply, failure := d.run(waitCtx)
 	answer := d.conclude(reply, failure)
