core: tell callers apart by header fields in verdicts on crashing requests

Cause: a request was recognised by its content alone.

Change: verdicts are reached on two hashes, that of the content and one that includes the header fields other than those that hold the request's ID. Either refuses the request. The content stays, because fields may differ each time.

--- a/core/crashwatch_test.go
+++ b/core/crashwatch_test.go
@@ -125,7 +125,7 @@
 // one after the other. Upstreams that crash at the same time may have another cause.
 func TestConvictionAfterCrashes(t *testing.T) {
 	request := RoutedRequest{Message: Message{Method: "GET", Host: "h", Target: "/p/1"}}
-	fingerprint := request.newFingerprint()
+	fingerprint := request.newFingerprints().content
 	cases := []struct {
 		name    string
 		record  func(q *Quarantine)
--- a/core/delegate.go
+++ b/core/delegate.go
@@ -246,7 +246,7 @@
 	request := delegated.Request
 	request.Arrived = now - delegated.Elapsed - DelegateHopMillis
 	request.Deadline = now + delegated.Remaining
-	request.fingerprint = request.newFingerprint()
+	request.fingerprints = request.newFingerprints()
 	return request
 }
 
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -198,7 +198,7 @@
 		// The signature proves that the upstream ran the request. A server error is no proof: it may
 		// have come before any work was done.
 		if reply.Signature != "" {
-			d.router.crashes.survived(d.request.fingerprint)
+			d.router.crashes.survived(d.request)
 		}
 		err = d.checkReply(reply)
 	}
--- a/core/group.go
+++ b/core/group.go
@@ -194,7 +194,7 @@
 		return Route{}, fmt.Errorf("%w: this instance is stopping", ErrGroupRefused)
 	case r.Lag.Lag() >= OffloadLagMillis:
 		return Route{}, fmt.Errorf("%w: this instance is behind", ErrGroupRefused)
-	case r.crashes.convicted(request.fingerprint):
+	case r.crashes.convicted(request):
 		return Route{}, fmt.Errorf("%w: the request crashes upstreams", ErrGroupRefused)
 	}
 	route, ok := table.Match(request.Message.Host, request.Message.Path())
--- a/core/message.go
+++ b/core/message.go
@@ -1,5 +1,10 @@
 package core
 
+import (
+	"cmp"
+	"slices"
+)
+
 // Field is one header field of a message.
 type Field struct {
 	Name  string
@@ -40,13 +45,33 @@
 	// Deadline is when the caller stops waiting, or zero if it set none.
 	Deadline Millis
 
-	fingerprint string
+	fingerprints fingerprints
 }
 
-// newFingerprint returns a hash that is the same for requests with the same host, method,
-// target and body, which make upstreams do the same work.
-func (r RoutedRequest) newFingerprint() string {
-	return fingerprintOf(r.Message.Host, r.Message.Method, r.Message.Target, string(r.Message.Body))
+// fingerprints are hashes by which a request is recognised when it comes again.
+type fingerprints struct {
+	// content is the same for requests with the same host, method, target and body.
+	content string
+	// sender is the same for requests that also have the same header fields, which name the caller.
+	sender string
+}
+
+// all returns both hashes, the wider one first.
+func (p fingerprints) all() [2]string { return [2]string{p.content, p.sender} }
+
+// newFingerprints returns the hashes of the request. Header fields with the request's ID are left
+// out, because it differs when the caller sends the request again.
+func (r RoutedRequest) newFingerprints() fingerprints {
+	content := fingerprintOf(r.Message.Host, r.Message.Method, r.Message.Target, string(r.Message.Body))
+	fields := slices.DeleteFunc(slices.Clone(r.Message.Fields), func(f Field) bool { return f.Value == r.ID })
+	slices.SortFunc(fields, func(a, b Field) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Value, b.Value))
+	})
+	parts := []string{content}
+	for _, field := range fields {
+		parts = append(parts, field.Name, field.Value)
+	}
+	return fingerprints{content: content, sender: fingerprintOf(parts...)}
 }
 
 // DelegatedRequest is a routed request that one instance delegates to another.
--- a/core/router.go
+++ b/core/router.go
@@ -111,7 +111,7 @@
 	if err := r.Pause.Await(ctx); err != nil {
 		return refuseRouted(ReasonDeadlinePassed, 0, "the caller has left")
 	}
-	request.fingerprint = request.newFingerprint()
+	request.fingerprints = request.newFingerprints()
 	answer := r.answer(ctx, request)
 	if answer.Outcome == OutcomeUnknown && ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrStopping) {
 		answer.Reason = ReasonCallerLeft
@@ -176,8 +176,8 @@
 	switch {
 	case lag > OffloadRefuseFactor*objective:
 		return g.refuseLagging(lag), false
-	case r.crashes.convicted(g.request.fingerprint) && !r.trialDue(g.request.fingerprint):
-		return r.refuseConvicted(g.request.fingerprint), false
+	case r.crashes.convicted(g.request) && !r.trialDue(g.request):
+		return r.refuseConvicted(g.request), false
 	case g.deadline <= r.Clock.Now():
 		return refuseRouted(ReasonDeadlinePassed, 0, "the deadline has passed"), false
 	case len(delegates) > 0:
@@ -193,7 +193,7 @@
 		return g.refuseLagging(lag), false
 	case warmingUp:
 		return refuseRouted(ReasonNotReady, max(RetrySoonMillis, warmupEnd-r.Clock.Now()), "other instances and upstreams are being found"), false
-	case r.crashes.convicted(g.request.fingerprint):
+	case r.crashes.convicted(g.request):
 		return g.try(ctx), false
 	case g.route.Scattered():
 		return r.scatter(ctx, g), false
--- a/core/trial_test.go
+++ b/core/trial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 )
@@ -128,3 +129,86 @@
 		t.Errorf("verdict %q", verdict)
 	}
 }
+
+// callerKey is the context key of a request's caller.
+type callerKey struct{}
+
+// askAs sends the request of a caller whose name stands in a header field.
+func (f *routerFixture) askAs(caller string) RoutedAnswer {
+	return f.router.Route(context.WithValue(context.Background(), callerKey{}, caller), RoutedRequest{
+		ID: "id", Arrived: f.clock.Now(), Message: Message{
+			Method: "GET", Host: "h", Target: "/p/1?q", Fields: []Field{{Name: "X-Caller", Value: caller}, {Name: "X-Request-Id", Value: "id"}},
+		},
+	})
+}
+
+// TestCrashesOfOneCaller sends a request that crashes upstreams for one caller only, again and again,
+// beside the same request of another caller. It guards against answers of the other caller that end the
+// conviction, and against a conviction that holds for the other caller, too.
+func TestCrashesOfOneCaller(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		const length, crasherPause, otherPause, downTime = 80 * Second, 2 * Second, 40, 2 * Second
+		f := newRouterFixture(1, 3, plainRoute(true, 2))
+		crashes := 0
+		down := NewSet[string]()
+		isDown := func(upstream string) bool {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			return down.Has(upstream)
+		}
+		for _, target := range f.fleet.Targets() {
+			name := target.Name
+			var act behaviour
+			crash := func(ctx context.Context) (RoutedReply, error) {
+				f.mu.Lock()
+				crashes++
+				down.Add(name)
+				f.mu.Unlock()
+				time.AfterFunc(downTime.Duration(), func() {
+					f.mu.Lock()
+					delete(down, name)
+					f.mu.Unlock()
+					f.restore(name, act)
+				})
+				return f.crashes(name, 1)(ctx)
+			}
+			act = func(ctx context.Context) (RoutedReply, error) {
+				if isDown(name) {
+					return RoutedReply{}, &AttemptError{Kind: FailureNotSent}
+				}
+				if ctx.Value(callerKey{}) == "crashing" {
+					return crash(ctx)
+				}
+				reply, err := answers(10)(ctx)
+				if isDown(name) {
+					return RoutedReply{}, &AttemptError{Kind: FailureLost}
+				}
+				return reply, err
+			}
+			f.set(name, act)
+		}
+		var group sync.WaitGroup
+		group.Go(func() {
+			for f.since() < length {
+				f.askAs("crashing")
+				time.Sleep(crasherPause.Duration())
+			}
+		})
+		asked, answered := 0, 0
+		for f.since() < length {
+			asked++
+			if f.askAs("other").Outcome == OutcomeAnswered {
+				answered++
+			}
+			time.Sleep(otherPause * time.Millisecond)
+		}
+		group.Wait()
+		if most := 2 + MaxTrials; crashes > most {
+			t.Errorf("%d upstreams crashed, want at most %d", crashes, most)
+		}
+		if 4*answered < 3*asked {
+			t.Errorf("%d of %d requests of the other caller answered", answered, asked)
+		}
+		t.Logf("%d crashes, %d of %d answered", crashes, answered, asked)
+	})
+}
