io/upstream: a status that no reply may have is a bad reply

What callers saw: statuses 600 and 999 reached them as answers. 000, 042 and 099 were skipped like interim replies: the caller waited until its deadline, and what came next on the connection was read as the reply.

Cause: each status below 200 counted as interim, and there was no upper bound. Answers of delegates were not checked at all.

Change: a status below 100 or above 599 ends the connection, whatever the reply answers (requests, parts, orders, health checks); nothing after it is read. An answer of a delegate must have a final status.

--- a/core/counters.go
+++ b/core/counters.go
@@ -119,6 +119,7 @@
 	CountBadOverlap
 	CountBadUnsigned
 	CountBadTooLarge
+	CountBadStatus
 	CountBadOther
 	counterCount
 )
@@ -189,6 +190,7 @@
 	CountBadOverlap:              "badShardRepliesOverlap",
 	CountBadUnsigned:             "badShardRepliesNoSignature",
 	CountBadTooLarge:             "badShardRepliesTooLarge",
+	CountBadStatus:               "badShardRepliesInvalidStatus",
 	CountBadOther:                "badShardRepliesOther",
 }
 
@@ -211,6 +213,7 @@
 	CountBadOverlap:   {"badShardReplies", "reason", string(DefectOverlap)},
 	CountBadUnsigned:  {"badShardReplies", "reason", string(DefectUnsigned)},
 	CountBadTooLarge:  {"badShardReplies", "reason", string(DefectTooLarge)},
+	CountBadStatus:    {"badShardReplies", "reason", string(DefectStatus)},
 	CountBadOther:     {"badShardReplies", "reason", "other"},
 }
 
--- a/core/dispatch.go
+++ b/core/dispatch.go
@@ -258,7 +258,7 @@
 		d.arrivals--
 	}
 	d.router.countFailure(failure)
-	if result.rejected().Status != 0 && !failure.ProvesNotRun() {
+	if result.rejected().hasHead() && !failure.ProvesNotRun() {
 		d.rejected++
 	}
 	d.countRejected(result)
--- a/core/message.go
+++ b/core/message.go
@@ -114,6 +114,9 @@
 	Signals UpstreamSignals
 }
 
+// ValidStatus reports whether the number is a status that an HTTP response may have.
+func ValidStatus(status int) bool { return status >= 100 && status <= 599 }
+
 // Success reports whether the upstream answered the request, with a 2xx status.
 func (r RoutedReply) Success() bool {
 	return r.Status >= 200 && r.Status < 300
--- a/core/rejected.go
+++ b/core/rejected.go
@@ -2,7 +2,7 @@
 
 // RejectedReply describes a reply that could not be used.
 type RejectedReply struct {
-	// Status is the HTTP status, or zero if no head was read.
+	// Status is the HTTP status, or zero if no head was read or the status is 000.
 	Status int
 	// Signature is the signature of the reply, or the signatures separated by commas if the head
 	// consists of parts of several.
@@ -28,6 +28,8 @@
 	// DefectUnsigned means that a success has no signature.
 	DefectUnsigned ReplyDefect = "noSignature"
 	DefectTooLarge ReplyDefect = "tooLarge"
+	// DefectStatus means that the status is not one that a response may have.
+	DefectStatus ReplyDefect = "invalidStatus"
 )
 
 // The messages of log lines by which a signature is traced.
@@ -48,10 +50,13 @@
 	return signature[:min(len(signature), maxLoggedSignatureBytes)]
 }
 
+// hasHead reports whether the head of a reply was read.
+func (r RejectedReply) hasHead() bool { return r.Status != 0 || r.Defect == DefectStatus }
+
 // rejected describes the reply of a failed attempt.
 func (r routedResult) rejected() RejectedReply {
 	rejected := r.failure.Rejected
-	if rejected.Status == 0 {
+	if !rejected.hasHead() {
 		rejected.Status, rejected.Signature = r.reply.Status, r.reply.Signature
 		rejected.ExtraInput = rejected.ExtraInput || r.reply.ExtraInput
 	}
@@ -95,7 +100,7 @@
 	failure, rejected := result.failure, result.rejected()
 	fields := []any{"service", d.service, "upstream", result.permit.Target().Name,
 		"failure", string(failure.Kind), "detail", failure.Error()}
-	if rejected.Status != 0 {
+	if rejected.hasHead() {
 		fields = append(fields, "status", rejected.Status)
 	}
 	if rejected.Signature != "" {
@@ -164,6 +169,8 @@
 		return CountBadUnsigned
 	case DefectTooLarge:
 		return CountBadTooLarge
+	case DefectStatus:
+		return CountBadStatus
 	}
 	return CountBadOther
 }
--- a/io/peer/delegate.go
+++ b/io/peer/delegate.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -165,6 +166,9 @@
 	switch {
 	case wire.GetReply() != nil:
 		reply := wire.GetReply()
+		if status := int(reply.GetStatus()); !core.ValidStatus(status) || status < http.StatusOK {
+			return core.DelegatedAnswer{}, ErrMalformed
+		}
 		answer.Reply = core.Some(core.RoutedReply{
 			Status: int(reply.GetStatus()), Fields: fromFields(reply.GetFields()), Body: reply.GetBody(),
 		})
--- a/io/peer/delegate_test.go
+++ b/io/peer/delegate_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -56,6 +57,16 @@
 			So(errors.Is(err, ErrMalformed), ShouldBeTrue)
 			So(errors.Is(err, core.ErrNotDelivered), ShouldBeFalse)
 		})
+		for _, status := range []int{0, 42, 99, 100, 101, 600, 999} {
+			Convey(fmt.Sprintf("an answer with status %03d is malformed and does not prove that the request did not run", status), func() {
+				f.handler.delegatedAnswer = core.DelegatedAnswer{Answer: core.RoutedAnswer{
+					Outcome: core.OutcomeAnswered, Reply: core.Some(core.RoutedReply{Status: status}),
+				}}
+				_, err := f.client.Delegate(ctx, f.address, request, func() {})
+				So(errors.Is(err, ErrMalformed), ShouldBeTrue)
+				So(errors.Is(err, core.ErrNotDelivered), ShouldBeFalse)
+			})
+		}
 		Convey("a malformed request is rejected and counted, and the client knows that it did not run", func() {
 			_, err := f.client.Delegate(ctx, f.address, core.DelegatedRequest{}, func() {})
 			So(errors.Is(err, core.ErrNotDelivered), ShouldBeTrue)
--- a/io/upstream/exchange.go
+++ b/io/upstream/exchange.go
@@ -257,7 +257,8 @@
 	return Response{Status: head.StatusCode, Header: head.Header, Body: body}, end, nil
 }
 
-// readHead returns the head of the next final reply and skips interim replies.
+// readHead returns the head of the next final reply and skips interim replies. It reads nothing after
+// a head with an invalid status: it is not known what follows it, or to which request it belongs.
 func (p *pooledConn) readHead(ctx context.Context, request Request) (*http.Response, error) {
 	p.input.beginHead()
 	defer p.input.endHead()
@@ -270,6 +271,10 @@
 			p.lastHead = head
 			return nil, p.overlap()
 		}
+		if !core.ValidStatus(head.StatusCode) {
+			p.lastHead = head
+			return nil, invalidStatus(head.StatusCode)
+		}
 		if head.StatusCode >= http.StatusOK || head.StatusCode == http.StatusSwitchingProtocols {
 			p.lastHead = head
 			return head, nil
@@ -372,6 +377,11 @@
 		Rejected: core.RejectedReply{Defect: core.DefectTooLarge}}
 }
 
+func invalidStatus(status int) *core.AttemptError {
+	return &core.AttemptError{Kind: core.FailureBadReply, Detail: fmt.Sprintf("status %03d is not valid", status),
+		Rejected: core.RejectedReply{Defect: core.DefectStatus}}
+}
+
 func badReply(detail string) *core.AttemptError {
 	return &core.AttemptError{Kind: core.FailureBadReply, Detail: detail}
 }
