io/peer: close connections without the locks that their readers need

Cause: CloseConnection held the client's lock while gRPC waits for the reader of the connection, and the reader needs that lock to record that a request was confirmed. Peers made the call with its own lock, which each request needs.

--- a/core/exchange.go
+++ b/core/exchange.go
@@ -145,14 +145,22 @@
 // connection is replaced anyway, and on a connection that a stopping peer closes, the
 // requests in flight are still answered.
 func (p *Peers) recordTimeout(address string) {
+	if p.countTimeout(address)%ReconnectAfterTimeouts == 0 {
+		p.Client.CloseConnection(address)
+	}
+}
+
+// countTimeout returns the number of consecutive timeouts, this one included. For an unknown peer it
+// returns 1.
+func (p *Peers) countTimeout(address string) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if peer, ok := p.peers[address]; ok {
-		peer.consecutiveTimeouts++
-		if peer.consecutiveTimeouts%ReconnectAfterTimeouts == 0 {
-			p.Client.CloseConnection(address)
-		}
+	peer, ok := p.peers[address]
+	if !ok {
+		return 1
 	}
+	peer.consecutiveTimeouts++
+	return peer.consecutiveTimeouts
 }
 
 // messageFor returns the next message to the peer. It reports false for an unknown peer.
--- a/core/peers.go
+++ b/core/peers.go
@@ -62,6 +62,7 @@
 type Peers struct {
 	PeersConfig
 
+	// mu is needed by each request. It is not held during calls of Client.
 	mu      sync.Mutex
 	leaving bool
 	peers   map[string]*peerState
@@ -212,11 +213,19 @@
 	}
 }
 
-// reconcile starts and stops tasks so that each linked peer has one.
+// reconcile starts and stops tasks so that each linked peer has one, and closes the connections to
+// removed peers.
 func (p *Peers) reconcile(ctx context.Context, group *errgroup.Group) {
+	for _, address := range p.updateTasks(ctx, group) {
+		p.Client.CloseConnection(address)
+	}
+}
+
+// updateTasks starts and stops tasks, and returns the addresses of the removed peers.
+func (p *Peers) updateTasks(ctx context.Context, group *errgroup.Group) (removed []string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.applyInstanceList()
+	removed = p.applyInstanceList()
 	links := NewSet(p.links()...)
 	for address, task := range p.tasks {
 		if !links.Has(address) {
@@ -236,12 +245,13 @@
 			return nil
 		})
 	}
+	return removed
 }
 
 // applyInstanceList adds the entry instances of the instance list to the peers. It
 // removes each peer that is neither listed nor a seed and that has not been heard from
-// for KnownPeerTTLMillis. The caller holds the lock.
-func (p *Peers) applyInstanceList() {
+// for KnownPeerTTLMillis, and returns their addresses. The caller holds the lock.
+func (p *Peers) applyInstanceList() (removed []string) {
 	keep := NewSet(p.Seeds...)
 	for _, m := range p.Store.List().Members {
 		if m.Role != RoleEntry || m.Address == p.Self.Address {
@@ -256,9 +266,10 @@
 	for address, peer := range p.peers {
 		if !keep.Has(address) && now-peer.heardAt > KnownPeerTTLMillis {
 			delete(p.peers, address)
-			p.Client.CloseConnection(address)
+			removed = append(removed, address)
 		}
 	}
+	return removed
 }
 
 // links returns the addresses of the peers to exchange messages with: all peers in a
--- a/core/peers_test.go
+++ b/core/peers_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -74,6 +75,60 @@
 	}
 }
 
+// blockingPeerClient is a PeerClient whose CloseConnection waits until the state of the peers can be
+// read, like one that waits for a goroutine that needs it.
+type blockingPeerClient struct {
+	fakePeerClient
+	peers  *Peers
+	closed atomic.Int64
+}
+
+func (b *blockingPeerClient) CloseConnection(string) {
+	b.peers.Alive()
+	b.closed.Add(1)
+}
+
+// TestCloseDoesNotBlockPeers guards against a deadlock of the whole instance: the lock of Peers, which each
+// request needs, is held while a connection is closed.
+func TestCloseDoesNotBlockPeers(t *testing.T) {
+	const address, gone = "127.0.0.1:7000", "127.0.0.1:7999"
+	cases := map[string]func(p *Peers){
+		"after timeouts": func(p *Peers) {
+			for range ReconnectAfterTimeouts {
+				_ = p.exchange(context.Background(), address)
+			}
+		},
+		"of a peer that is gone": func(p *Peers) {
+			p.peers[gone] = &peerState{address: gone, heardAt: p.Clock.Now() - 2*KnownPeerTTLMillis}
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			_ = p.Run(ctx)
+		},
+	}
+	for name, act := range cases {
+		t.Run(name, func(t *testing.T) {
+			client := &blockingPeerClient{fakePeerClient: fakePeerClient{
+				contacted: NewSet[string](), down: NewSet(address), unresponsive: true,
+			}}
+			peers, _ := newTestPeers(&client.fakePeerClient, 1, func(Fact) {})
+			peers.Client, client.peers = client, peers
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				act(peers)
+			}()
+			select {
+			case <-done:
+			case <-time.After(10 * time.Second):
+				t.Fatal("deadlock")
+			}
+			if client.closed.Load() == 0 {
+				t.Error("no connection was closed")
+			}
+		})
+	}
+}
+
 func newTestPeers(client *fakePeerClient, count int, applied func(Fact)) (*Peers, *Store) {
 	clock := NewClock()
 	store := newTestStore()
--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -6,7 +6,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 
 	"google.golang.org/grpc"
@@ -41,6 +43,8 @@
 	dialer   *net.Dialer
 	received *intake
 
+	// mu is not held while a connection is closed: gRPC then waits for the goroutine that reads from
+	// it, which may need mu to record a confirmation.
 	mu          sync.Mutex
 	connections map[string]*grpc.ClientConn
 	// confirming holds the addresses of the instances that have confirmed a request.
@@ -103,18 +107,20 @@
 // CloseConnection implements core.PeerClient.
 func (c *Client) CloseConnection(address string) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if connection, ok := c.connections[address]; ok {
+	connection, ok := c.connections[address]
+	delete(c.connections, address)
+	c.mu.Unlock()
+	if ok {
 		_ = connection.Close()
-		delete(c.connections, address)
 	}
 }
 
 // ResetBackoff implements core.PeerClient.
 func (c *Client) ResetBackoff(address string) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	if connection, ok := c.connections[address]; ok {
+	connection, ok := c.connections[address]
+	c.mu.Unlock()
+	if ok {
 		connection.ResetConnectBackoff()
 	}
 }
@@ -122,10 +128,11 @@
 // Close closes all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
-	defer c.mu.Unlock()
-	for address, connection := range c.connections {
+	connections := slices.Collect(maps.Values(c.connections))
+	clear(c.connections)
+	c.mu.Unlock()
+	for _, connection := range connections {
 		_ = connection.Close()
-		delete(c.connections, address)
 	}
 }
 
