core: the slack of the retry budget returns step by step after a restart

Cause: a new process knows nothing of the repeats of the one before it, and had its whole share of the slack at once. Half of the slack is reserved for that, which covers one restart in a window.

Change: a process that starts again gets the slack in proportion to the time since it found the others, in full after one window. However often an instance starts again, its processes together get two shares of a half at most. A first start is as before.

The property test restarts instances now, and fails with the whole slack at once.

--- a/cli/routes.go
+++ b/cli/routes.go
@@ -111,13 +111,17 @@
 }
 
 func newRoutes(i *instance, client *upstream.Client) *routes {
-	return &routes{
+	r := &routes{
 		instance:         i,
 		roster:           core.NewRoster(i.clock),
 		retryBudget:      core.NewRetryBudget(i.clock, i.settings.RetryBudget, 1),
 		upstreams:        platform.NewUpstreamClient(i.clock, client),
 		sharingInstances: 1,
 	}
+	if !i.settings.FirstStart {
+		r.retryBudget.WithholdSlack()
+	}
+	return r
 }
 
 // wire creates the router. The other components of the instance must exist.
@@ -208,6 +212,9 @@
 			r.refresh()
 		}
 		r.mu.Unlock()
+		if !r.instance.peers.Joining() {
+			r.retryBudget.ReleaseSlack()
+		}
 		delay = rosterIdleInterval
 		if changed || r.roster.HasMissing() {
 			delay = rosterInterval
--- a/core/allowance.go
+++ b/core/allowance.go
@@ -14,6 +14,10 @@
 	mu        sync.Mutex
 	instances int
 	services  map[string]*retryBudgetWindow
+	// ramp is set if the slack becomes available over the window that begins at rampStart. It is not
+	// available at all while rampStart is not set.
+	ramp      bool
+	rampStart Option[Millis]
 }
 
 // RetryBudgetLimit is the maximum number of repeated requests that a service may get from
@@ -31,7 +35,8 @@
 
 // usableSlackFraction is the fraction of its share of the slack that an instance uses. The
 // rest is reserved for restarts: a process that restarts within the window loses its
-// counts and can use its share again.
+// counts and gets its share again, in proportion to the time since its start. In a window,
+// the processes that an instance starts one after the other thus get two shares at most.
 const usableSlackFraction = 0.5
 
 // retryBudgetWindow counts the requests to one service in buckets of equal duration.
@@ -55,6 +60,36 @@
 	b.instances = max(1, instances)
 }
 
+// WithholdSlack makes the slack unavailable until ReleaseSlack is called. An instance that starts
+// again does not know what its previous process has used, nor how many instances share the slack.
+func (b *RetryBudget) WithholdSlack() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ramp = true
+}
+
+// ReleaseSlack makes withheld slack available step by step, over one window. Further calls do nothing.
+func (b *RetryBudget) ReleaseSlack() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if _, ok := b.rampStart.Get(); !ok {
+		b.rampStart = Some(b.clock.Now())
+	}
+}
+
+// slack returns the slack that this instance may use now. b.mu must be held.
+func (b *RetryBudget) slack() float64 {
+	share := b.limit.Slack * usableSlackFraction / float64(b.instances)
+	if !b.ramp {
+		return share
+	}
+	start, ok := b.rampStart.Get()
+	if !ok {
+		return 0
+	}
+	return share * min(1, float64(b.clock.Since(start))/float64(max(1, b.limit.Window)))
+}
+
 // SetLimit replaces the limit.
 func (b *RetryBudget) SetLimit(limit RetryBudgetLimit) {
 	b.mu.Lock()
@@ -128,8 +163,7 @@
 	defer b.mu.Unlock()
 	w := b.window(service)
 	requests, repeats := w.minRequests(), sum(w.repeats[:])
-	slack := b.limit.Slack * usableSlackFraction / float64(b.instances)
-	allowed := fraction * (b.limit.Ratio*float64(requests) + slack)
+	allowed := fraction * (b.limit.Ratio*float64(requests) + b.slack())
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/core/allowance_test.go
+++ b/core/allowance_test.go
@@ -50,6 +50,16 @@
 			budget.Refund("s")
 			So(spend(1), ShouldEqual, 1)
 		})
+		Convey("after a restart, the slack is available once it is released, and grows over a window", func() {
+			budget.WithholdSlack()
+			So(spend(1), ShouldEqual, 0)
+			budget.ReleaseSlack()
+			clock.now += 5 * Second
+			So(spend(1), ShouldEqual, 5)
+			budget.ReleaseSlack()
+			clock.now += 5 * Second
+			So(spend(1), ShouldEqual, 5)
+		})
 		Convey("the share of the slack shrinks with more instances", func() {
 			budget.Resize(8)
 			So(spend(1), ShouldEqual, 2)
@@ -58,8 +68,9 @@
 }
 
 // TestRetryBudgetsOfAllInstancesStayWithinLimit simulates instances with uneven traffic
-// that send as many repeats as they may. In every sliding window, the repeats of all
-// instances together must stay within the limit.
+// that send as many repeats as they may, and that are started again and again: a new process
+// knows nothing of the repeats before. In every sliding window, the repeats of all instances
+// together must stay within the limit.
 func TestRetryBudgetsOfAllInstancesStayWithinLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const window = 10 * Second
@@ -76,7 +87,13 @@
 		var events []event
 		for range rapid.IntRange(10, 120).Draw(t, "steps") {
 			clock.now += Millis(rapid.IntRange(1, 1500).Draw(t, "pause"))
-			budget := instances[rapid.IntRange(0, len(instances)-1).Draw(t, "instance")]
+			instance := rapid.IntRange(0, len(instances)-1).Draw(t, "instance")
+			if rapid.IntRange(0, 3).Draw(t, "restarts") == 0 {
+				instances[instance] = NewRetryBudget(clock.clock(), limit, len(instances))
+				instances[instance].WithholdSlack()
+				instances[instance].ReleaseSlack()
+			}
+			budget := instances[instance]
 			for range rapid.IntRange(0, 60).Draw(t, "requests") {
 				budget.Earn("s")
 				events = append(events, event{clock.now, false})
