io/peer: a group whose reports end early has failed

Cause: gRPC may report the end of a stream whose connection broke as that of a complete one. The client took it for the end of the reports without counting shards. The shards were asked directly all the same, but the peer did not count as failing.

Change: the stream must name each shard before it ends.

--- a/io/peer/group.go
+++ b/io/peer/group.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/bits"
+	"slices"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -40,7 +41,11 @@
 	return fmt.Errorf("gather at %s: %w", address, err)
 }
 
-// gather sends the request and calls handle with each report until the stream ends.
+// errEndedEarly means that the reports of a group ended before each of its shards was named.
+var errEndedEarly = errors.New("reports ended early")
+
+// gather sends the request and calls handle with each report until the stream ends. gRPC may report the
+// end of a stream whose connection broke like that of a complete one, so the shards are counted.
 func gather(ctx context.Context, peer peerpb.PeerClient, request core.GroupRequest, handle func(core.GroupReport), options ...grpc.CallOption) error {
 	// Cancelling ends the call also when this function returns before the end of the stream.
 	ctx, cancel := context.WithCancel(ctx)
@@ -49,8 +54,12 @@
 	if err != nil {
 		return err
 	}
+	unreported := core.NewSet(request.Shards...)
 	for {
 		wire, err := stream.Recv()
+		if errors.Is(err, io.EOF) && len(unreported) > 0 {
+			return fmt.Errorf("%w: %d shards are missing", errEndedEarly, len(unreported))
+		}
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
@@ -63,6 +72,9 @@
 			awaitEnd(stream)
 			return err
 		}
+		for _, shard := range slices.Concat(report.Shards, report.Failed, report.NotRun) {
+			delete(unreported, shard)
+		}
 		handle(report)
 	}
 }
--- a/io/peer/group_test.go
+++ b/io/peer/group_test.go
@@ -46,6 +46,12 @@
 			So(f.handler.group, ShouldResemble, newGroupRequest())
 			So(got, ShouldResemble, reports)
 		})
+		Convey("a group whose reports end before each shard is named has failed, and may have run", func() {
+			f.handler.reports = reports[:1]
+			err := f.client.Gather(ctx, f.address, newGroupRequest(), collect)
+			So(errors.Is(err, errEndedEarly), ShouldBeTrue)
+			So(errors.Is(err, core.ErrGroupRefused) || errors.Is(err, core.ErrNotDelivered), ShouldBeFalse)
+		})
 		Convey("a refused group is distinguished from one that fails or panics while it is gathered", func() {
 			f.handler.groupErr = core.ErrGroupRefused
 			So(errors.Is(f.client.Gather(ctx, f.address, newGroupRequest(), collect), core.ErrGroupRefused), ShouldBeTrue)
