io/peer: repeat calls for tickets that have not reached their peer

Change: a call that was not assigned to a connection is repeated with a new dial, for up to a second. If it still has not reached the peer, the tickets were certainly not taken, and the next successor is asked.

--- a/io/peer/client.go
+++ b/io/peer/client.go
@@ -13,9 +13,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
-	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/status"
 
 	"acaciavane/core"
 	"acaciavane/io/peer/peerpb"
@@ -159,7 +157,11 @@
 	if request.Deadline != 0 {
 		timeout = max(1, request.Deadline-c.clock.Now())
 	}
-	reply, err := peer.ForwardOrder(ctx, toOrder(ticket, request, timeout))
+	var reply *peerpb.OrderReply
+	_, err = c.deliver(ctx, address, func(reached grpc.CallOption) (err error) {
+		reply, err = peer.ForwardOrder(ctx, toOrder(ticket, request, timeout), reached)
+		return err
+	})
 	if err != nil {
 		return core.Answer{}, fmt.Errorf("%w: forward to %s: %w", core.ErrPeerUnreachable, address, err)
 	}
@@ -194,11 +196,14 @@
 	if err != nil {
 		return err
 	}
-	_, err = peer.TakeOver(ctx, toBook(book))
-	switch status.Code(err) {
-	case codes.OK:
+	delivered, err := c.deliver(ctx, address, func(reached grpc.CallOption) error {
+		_, err := peer.TakeOver(ctx, toBook(book), reached)
+		return err
+	})
+	switch {
+	case err == nil:
 		return nil
-	case codes.FailedPrecondition, codes.InvalidArgument, codes.Unimplemented:
+	case !delivered || refusedCall(err):
 		return fmt.Errorf("%w: %w", errTakeOverRefused, err)
 	}
 	return fmt.Errorf("%w: hand over to %s: %w", core.ErrPeerUnreachable, address, err)
