--- a/cli/entry.go
+++ b/cli/entry.go
@@ -94,6 +94,11 @@
 	if err != nil {
 		return err
 	}
+	server.abort = func() {
+		// The log writes its queue before it closes.
+		output.Close()
+		os.Exit(1)
+	}
 	server.reloader = &reloader{instance: server.instance, level: level, file: options.settings, raw: raw}
 	signalCtx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
@@ -114,6 +119,8 @@
 	admin    *http.Server
 	peers    *peer.Server
 	reloader *reloader
+	// abort ends the process at once.
+	abort func()
 }
 
 func newEntryServer(settings operator.Settings, log logr.Logger, level *operator.LogLevel) (*entryServer, error) {
@@ -172,6 +179,7 @@
 	var err error
 	select {
 	case <-ctx.Done():
+		defer guardStop(s.instance.clock, s.instance.settings.StopTimeout, s.log, s.abort)()
 		s.stop()
 	case err = <-failed:
 		s.close()
