platform: follow a store that comes back from an older copy of itself

New on the users' pages: the store may come back from a copy some seconds old, with an era that is one higher, and give revisions out again.

What callers would have seen: the list from before stays in use until the new revisions have passed it, changes below the old revision are missed, and the copy brings back upstreams that had left or zones that were evacuated.

Change: core.Revision holds the era before the number, so that a value of a later era is newer everywhere, also between peers. An answer of a later era makes everything be read anew; one of an earlier era, or with an era that can't be read, changes nothing. What was known of upstreams and zones holds until their owners have written their entries again.

Not done: the drill in the soak, a model of the orders of events, and the calls at 295 machines.

--- a/cli/instance.go
+++ b/cli/instance.go
@@ -144,6 +144,7 @@
 		if i.settings.EvacuationDelay > 0 {
 			feed.ReadEvacuations()
 		}
+		feed.OnRewind(i.recordRewind)
 		return sources{
 			platform:            feed,
 			decoder:             platform.NewDecoder(),
@@ -276,6 +277,13 @@
 	}
 }
 
+// recordRewind records that the platform's store has come back from an older copy of itself.
+func (i *instance) recordRewind(rewind platform.Rewind) {
+	i.counters.Add(core.CountStoreRewinds, 1)
+	i.log.Info("platform's store came back from an older copy; reading everything anew",
+		"era", rewind.To, "eraBefore", rewind.From, "revisionBefore", rewind.Revision)
+}
+
 // applyConfiguration puts a new configuration in force.
 func (i *instance) applyConfiguration(configuration core.Configuration) {
 	if i.routes != nil {
--- a/core/configuration.go
+++ b/core/configuration.go
@@ -168,7 +168,7 @@
 // InstanceList is the platform's list of live and leaving instances. It may be out of date.
 type InstanceList struct {
 	// Revision orders the lists; a higher one replaces a lower one.
-	Revision uint64
+	Revision Revision
 	// Raw is the published document, passed on to peers unchanged.
 	Raw     []byte
 	Members []Member
--- a/core/counters.go
+++ b/core/counters.go
@@ -70,6 +70,8 @@
 	CountInstanceListsRefused
 	CountPlatformReads
 	CountPlatformFailures
+	// CountStoreRewinds counts how often the platform's store came back from an older copy of itself.
+	CountStoreRewinds
 	CountPeerExchanges
 	CountPeerFailures
 	// CountMalformedPeerMessages counts malformed messages and non-protocol connections on
@@ -162,6 +164,7 @@
 	CountInstanceListsRefused:    "instanceListsRefused",
 	CountPlatformReads:           "platformReads",
 	CountPlatformFailures:        "platformFailures",
+	CountStoreRewinds:            "storeRewinds",
 	CountPeerExchanges:           "peerExchanges",
 	CountPeerFailures:            "peerFailures",
 	CountMalformedPeerMessages:   "peerGarbage",
--- a/core/evacuation.go
+++ b/core/evacuation.go
@@ -134,7 +134,7 @@
 }
 
 // knownListRevision returns the revision of the newest list that was received, held back or not.
-func (s *Store) knownListRevision() uint64 {
+func (s *Store) knownListRevision() Revision {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	return max(s.list.Revision, s.heldList.Revision)
--- a/core/evacuation_test.go
+++ b/core/evacuation_test.go
@@ -223,7 +223,7 @@
 
 // listOf returns a list whose evacuated zones are known.
 func listOf(revision uint64, zones ...string) InstanceList {
-	list := InstanceList{Revision: revision}
+	list := InstanceList{Revision: Revision(revision)}
 	list.SetEvacuated(zones)
 	return list
 }
--- a/core/exchange.go
+++ b/core/exchange.go
@@ -40,7 +40,7 @@
 	// ListRevision identifies the sender's instance list. InstanceList is its
 	// document; it is set only if the receiver has asked for it by WantsList and has an
 	// older one.
-	ListRevision uint64
+	ListRevision Revision
 	InstanceList []byte
 	WantsList    bool
 	// PlatformAge is how long ago the sender last had contact with the platform,
@@ -210,7 +210,7 @@
 
 // claimListFetch reports whether to ask the peer for its instance list. If so, no other peer
 // is asked for ExchangeTimeoutMillis. The caller holds the lock.
-func (p *Peers) claimListFetch(peer *peerState, revision uint64) bool {
+func (p *Peers) claimListFetch(peer *peerState, revision Revision) bool {
 	if !p.needsList(peer, revision) {
 		return false
 	}
@@ -221,7 +221,7 @@
 // needsList reports whether this instance needs the peer's instance list: the list is newer,
 // this instance sends requests to upstreams itself, its own reads of the list have failed or
 // ceased, and no request for another peer's list is pending. The caller holds the lock.
-func (p *Peers) needsList(peer *peerState, revision uint64) bool {
+func (p *Peers) needsList(peer *peerState, revision Revision) bool {
 	return peer.listRevision > revision && p.Clock.Now() >= p.listFetchPendingUntil &&
 		len(p.currentDelegation().delegates) == 0 && p.Store.ListReadAge() > ListMaxAgeMillis
 }
--- a/core/peers.go
+++ b/core/peers.go
@@ -106,7 +106,7 @@
 	configurationVersion uint64
 	configurationDigest  string
 	wantsConfiguration   bool
-	listRevision         uint64
+	listRevision         Revision
 	wantsList            bool
 	lastError            string
 	consecutiveFailures  int
--- a/core/publications.go
+++ b/core/publications.go
@@ -32,14 +32,14 @@
 	// Raw is then empty.
 	List Option[InstanceList]
 	// Revision is the platform's revision number of the value.
-	Revision uint64
+	Revision Revision
 }
 
 // Platform reads published values.
 type Platform interface {
 	// Read returns the value. It waits up to wait for a revision other than after,
 	// then returns the current one. Its errors wrap ErrPlatformUnavailable.
-	Read(ctx context.Context, key string, after uint64, wait Millis) (PublishedValue, error)
+	Read(ctx context.Context, key string, after Revision, wait Millis) (PublishedValue, error)
 }
 
 // ReadIntervals sets how often the platform is read.
@@ -114,7 +114,7 @@
 
 // watch reads one value whenever it is due, until ctx ends.
 func (p *PlatformWatcher) watch(ctx context.Context, key string) {
-	var revision uint64
+	var revision Revision
 	retryDelay := p.Intervals.RetryMin
 	var lostAt Option[Millis]
 	changes := p.Peers.SubscribeDelegation()
@@ -211,7 +211,7 @@
 }
 
 // read reads the value and updates the store if the revision differs from after.
-func (p *PlatformWatcher) read(ctx context.Context, key string, after uint64, wait Millis) (PublishedValue, error) {
+func (p *PlatformWatcher) read(ctx context.Context, key string, after Revision, wait Millis) (PublishedValue, error) {
 	p.Counters.Add(CountPlatformReads, 1)
 	published, err := p.Platform.Read(ctx, key, after, wait)
 	p.mu.Lock()
--- a/core/publications_test.go
+++ b/core/publications_test.go
@@ -22,7 +22,7 @@
 	services int
 }
 
-func (c *countingPlatform) Read(ctx context.Context, key string, after uint64, wait Millis) (PublishedValue, error) {
+func (c *countingPlatform) Read(ctx context.Context, key string, after Revision, wait Millis) (PublishedValue, error) {
 	c.mu.Lock()
 	c.reads[key]++
 	down := c.down
--- a/core/roster.go
+++ b/core/roster.go
@@ -12,21 +12,29 @@
 // that has left must get no requests after its drain time, which is longer than this.
 const UnlistedGraceMillis = 2 * Second
 
+// RewoundGraceMillis is the same for an upstream that is missing since the platform's store came back from
+// an older copy, which lacks the latest entries. Their owners write them again within about two seconds.
+const RewoundGraceMillis = 3 * Second
+
 // Roster holds the upstreams of the instance list. An upstream that is missing from
-// a newer list is kept for UnlistedGraceMillis and marked as unlisted.
+// a newer list is kept for its grace time and marked as unlisted.
 type Roster struct {
 	clock Clock
 
 	mu      sync.Mutex
 	entries map[string]rosterEntry
+	// era is that of the newest list.
+	era uint64
 	// coldNews names the upstreams whose entries state something new about their coldness.
 	coldNews Set[string]
 }
 
 type rosterEntry struct {
 	member Member
-	// missingSince is set while the upstream is missing from the list.
+	// missingSince is set while the upstream is missing from the list, and grace is how long it is kept
+	// then.
 	missingSince Option[Millis]
+	grace        Millis
 }
 
 // NewRoster returns an empty roster.
@@ -40,6 +48,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
+	grace := UnlistedGraceMillis
+	if list.Revision.Era() != r.era {
+		grace = RewoundGraceMillis
+	}
+	r.era = list.Revision.Era()
 	listed := NewSet[string]()
 	for _, m := range list.Members {
 		if m.Role != RoleUpstream {
@@ -58,7 +71,7 @@
 	}
 	for name, entry := range r.entries {
 		if _, unlisted := entry.missingSince.Get(); !unlisted && !listed.Has(name) {
-			entry.missingSince = Some(now)
+			entry.missingSince, entry.grace = Some(now), grace
 			r.entries[name] = entry
 			missing = append(missing, name)
 		}
@@ -66,14 +79,13 @@
 	return appeared, missing
 }
 
-// Expire removes the upstreams that have been missing for more than
-// UnlistedGraceMillis. It returns whether there were any.
+// Expire removes the upstreams that have been missing for more than their grace time. It returns whether there were any.
 func (r *Roster) Expire() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	expired := false
 	for name, entry := range r.entries {
-		if since, unlisted := entry.missingSince.Get(); unlisted && r.clock.Since(since) > UnlistedGraceMillis {
+		if since, unlisted := entry.missingSince.Get(); unlisted && r.clock.Since(since) > entry.grace {
 			delete(r.entries, name)
 			expired = true
 		}
--- a/core/roster_test.go
+++ b/core/roster_test.go
@@ -7,7 +7,7 @@
 )
 
 func newInstanceList(revision uint64, members ...Member) InstanceList {
-	return InstanceList{Revision: revision, Members: members}
+	return InstanceList{Revision: Revision(revision), Members: members}
 }
 
 func upstreamMember(name string, incarnation uint64) Member {
@@ -62,6 +62,25 @@
 			clock.now++
 			So(roster.Expire(), ShouldBeTrue)
 		})
+		Convey("an upstream that is missing since the store came back from an older copy is kept for longer", func() {
+			rewound := newInstanceList(1, upstreamMember("b", 1))
+			rewound.Revision = NewRevision(1, 1)
+			roster.Update(rewound)
+			clock.now += UnlistedGraceMillis + 1
+			So(roster.Expire(), ShouldBeFalse)
+			So(names(), ShouldResemble, []string{"a unlisted", "b"})
+			clock.now += RewoundGraceMillis - UnlistedGraceMillis
+			So(roster.Expire(), ShouldBeTrue)
+		})
+		Convey("an upstream that is missing from a later list of the same era is not", func() {
+			for number, members := range [][]Member{{upstreamMember("a", 1), upstreamMember("b", 1)}, {upstreamMember("b", 1)}} {
+				list := newInstanceList(0, members...)
+				list.Revision = NewRevision(1, uint64(number+1))
+				roster.Update(list)
+			}
+			clock.now += UnlistedGraceMillis + 1
+			So(roster.Expire(), ShouldBeTrue)
+		})
 		Convey("a new incarnation under the same name is reported as appeared", func() {
 			appeared, _ := roster.Update(newInstanceList(2, upstreamMember("a", 2), upstreamMember("b", 1)))
 			So(appeared, ShouldResemble, []string{"a"})
--- a/io/configservice/client.go
+++ b/io/configservice/client.go
@@ -47,10 +47,10 @@
 }
 
 // Read implements core.Platform.
-func (c *Client) Read(ctx context.Context, key string, after uint64, wait core.Millis) (core.PublishedValue, error) {
+func (c *Client) Read(ctx context.Context, key string, after core.Revision, wait core.Millis) (core.PublishedValue, error) {
 	ctx, cancel := context.WithTimeout(ctx, (wait + responseGraceMillis).Duration())
 	defer cancel()
-	response, err := c.get(ctx, key, after, wait)
+	response, err := c.get(ctx, key, uint64(after), wait)
 	if err != nil {
 		return core.PublishedValue{}, fmt.Errorf("%w: %w", core.ErrPlatformUnavailable, err)
 	}
@@ -91,5 +91,5 @@
 	if len(raw) > core.MaxPublishedBytes {
 		return core.PublishedValue{}, fmt.Errorf("%w: value over %d bytes", core.ErrPlatformUnavailable, core.MaxPublishedBytes)
 	}
-	return core.PublishedValue{Raw: raw, Revision: revision}, nil
+	return core.PublishedValue{Raw: raw, Revision: core.Revision(revision)}, nil
 }
--- a/io/configservice/decoder.go
+++ b/io/configservice/decoder.go
@@ -198,7 +198,7 @@
 	if err != nil {
 		return core.InstanceList{}, fmt.Errorf("%w: %w", ErrInvalidDocument, err)
 	}
-	list := core.InstanceList{Revision: uint64(root.Field("revision").Int(1, math.MaxInt64))}
+	list := core.InstanceList{Revision: core.Revision(root.Field("revision").Int(1, math.MaxInt64))}
 	items := root.Field("instances").Items(0)
 	root.RejectUnknownFields()
 	if err := doc.TakeErr(); err != nil {
--- a/io/operator/state.go
+++ b/io/operator/state.go
@@ -93,6 +93,8 @@
 
 // ListBody summarizes the instance list that the platform publishes.
 type ListBody struct {
+	// Era is how often the platform's store came back from an older copy, as far as it says so.
+	Era      uint64 `json:"era,omitempty"`
 	Revision uint64 `json:"revision"`
 	Members  int    `json:"members"`
 }
@@ -229,7 +231,7 @@
 		PlatformReader:    state.PlatformReader,
 		PlatformAgeMillis: int64(state.PlatformAge),
 		Configuration:     toConfigurationBody(state),
-		InstanceList:      ListBody{Revision: state.List.Revision, Members: len(state.List.Members)},
+		InstanceList:      ListBody{Era: state.List.Revision.Era(), Revision: state.List.Revision.Number(), Members: len(state.List.Members)},
 		EvacuatedZones:    append([]string{}, state.EvacuatedZones...),
 		Peers:             make([]PeerBody, 0, len(state.Peers)),
 		Upstreams:         make([]UpstreamBody, 0, len(state.Upstreams)),
