--- a/cli/events.go
+++ b/cli/events.go
@@ -23,7 +23,7 @@
 		return
 	}
 	i.lastInvalidEntries = list.Invalid
-	i.log.Info("invalid entries in the instance list", "entries", list.Invalid, "revision", list.Revision)
+	i.log.Info("invalid entries in the instance list", "entries", list.Invalid, "era", list.Revision.Era(), "revision", list.Revision.Number())
 }
 
 // logLimit logs a change of the request limit of an upstream.
--- a/cli/routes.go
+++ b/cli/routes.go
@@ -167,7 +167,7 @@
 	appeared, missing := r.roster.Update(list)
 	r.refresh()
 	if len(appeared)+len(missing) > 0 {
-		r.instance.log.Info("upstreams changed", "appeared", appeared, "missing", missing, "revision", list.Revision)
+		r.instance.log.Info("upstreams changed", "appeared", appeared, "missing", missing, "era", list.Revision.Era(), "revision", list.Revision.Number())
 	}
 }
 
--- a/core/evacuation.go
+++ b/core/evacuation.go
@@ -58,7 +58,7 @@
 	}
 	e.counters.Add(CountEvacuationChanges, len(started)+len(ended))
 	e.log.Info("evacuation changed", "evacuated", list.Evacuated, "started", started, "ended", ended,
-		"withoutUpstreams", list.zonesWithoutUpstreams(), "revision", list.Revision)
+		"withoutUpstreams", list.zonesWithoutUpstreams(), "era", list.Revision.Era(), "revision", list.Revision.Number())
 }
 
 // SetEvacuated replaces the evacuated zones. Their upstreams get no requests: permits that were
--- a/core/publications.go
+++ b/core/publications.go
@@ -259,8 +259,8 @@
 		updated, err = p.updateList(published)
 	}
 	if err != nil {
-		p.Log.Error(err, "published value refused", "key", key, "revision", published.Revision)
+		p.Log.Error(err, "published value refused", "key", key, "revision", published.Revision.String())
 		return
 	}
-	p.Log.V(1).Info("published value read", "key", key, "revision", published.Revision, "newer", updated)
+	p.Log.V(1).Info("published value read", "key", key, "revision", published.Revision.String(), "newer", updated)
 }
