--- a/io/peer/connect_test.go
+++ b/io/peer/connect_test.go
@@ -22,18 +22,19 @@
 		f := newFixture()
 		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 		defer cancel()
+		defer f.client.Close()
 		stopped, cancelStop := context.WithCancel(context.Background())
 		cancelStop()
 		f.server.Stop(stopped)
 		_, err := f.client.Exchange(ctx, f.address, soundMessage)
 		So(err, ShouldNotBeNil)
+		again := NewServer(core.NewClock(), f.handler, f.counters, logr.Discard())
+		defer again.Stop(stopped)
 		listen := func() {
 			listener, err := net.Listen("tcp", f.address)
 			So(err, ShouldBeNil)
-			f.server = NewServer(core.NewClock(), f.handler, f.counters, logr.Discard())
-			go func() { _ = f.server.Serve(listener) }()
+			go func() { _ = again.Serve(listener) }()
 		}
-		defer f.close()
 		Convey("it takes tickets over", func() {
 			listen()
 			So(f.client.TakeOver(ctx, f.address, book), ShouldBeNil)
