--- a/core/trial_test.go
+++ b/core/trial_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"time"
@@ -212,3 +213,53 @@
 		t.Logf("%d crashes, %d of %d answered", crashes, answered, asked)
 	})
 }
+
+// TestTrialsOfTheOwnInterface guards against queries and orders that are refused for minutes because they
+// ran on upstreams that crashed for another reason.
+func TestTrialsOfTheOwnInterface(t *testing.T) {
+	for _, crashes := range []bool{false, true} {
+		for _, kind := range []string{"wait", "order"} {
+			t.Run(fmt.Sprintf("%s/crashes %t", kind, crashes), func(t *testing.T) {
+				f, manual := newEngineFixture(), &manualClock{now: Minute}
+				f.engine.Quarantine = NewQuarantine(manual.clock(), func(Fact) {})
+				f.client.search = func(_ context.Context, _ Target, attempt SearchAttempt) (SearchReply, error) {
+					if crashes {
+						return fail(FailureLost)
+					}
+					return covered(attempt), nil
+				}
+				f.client.order = func(Target, OrderAttempt) (OrderReply, error) {
+					if crashes {
+						return OrderReply{}, &AttemptError{Kind: FailureLost}
+					}
+					return OrderReply{Status: liveStatus(1, 1, 2)}, nil
+				}
+				orders := NewOrders(f.engine, noPeers{}, anyAddress, Home{"n", 1}, "a", func(Fact) {})
+				request := Request{ID: "r", Collection: "c", Kind: kind, Key: "k", Arrived: f.engine.Clock.Now()}
+				ask := func() Answer {
+					if kind == "order" {
+						return orders.Run(context.Background(), orders.Mint(), request)
+					}
+					return f.engine.Query(context.Background(), request)
+				}
+				for range ConvictAfterCrashes {
+					f.engine.Quarantine.RecordIsolatedCrash(request.Fingerprint())
+				}
+				if answer := ask(); answer.Reason != ReasonCrashesUpstreams || len(f.client.sentTo()) != 0 {
+					t.Errorf("before the trial: %s (%s)", answer.Outcome, answer.Reason)
+				}
+				manual.now += 2 * TrialDelayMillis
+				if answer := ask(); !crashes && answer.Outcome != OutcomeAnswered {
+					t.Errorf("in the trial: %s (%s)", answer.Outcome, answer.Reason)
+				}
+				sent := len(f.client.sentTo())
+				if crashes && sent != 1 {
+					t.Errorf("the trial reached %d upstreams", sent)
+				}
+				if answer := ask(); (answer.Reason == ReasonCrashesUpstreams) != crashes {
+					t.Errorf("after the trial: %s (%s)", answer.Outcome, answer.Reason)
+				}
+			})
+		}
+	}
+}
